--- /dev/null
+++ b/app/main.go
@@ -0,0 +1,72 @@
+package app
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+	"github.com/rs/zerolog"
+)
+
+// Exit codes of the command line.
+const (
+	// ExitOK says that the command did what it was asked to.
+	ExitOK = subcommands.ExitSuccess
+	// ExitFailed says that the command could not do it.
+	ExitFailed = subcommands.ExitFailure
+	// ExitUsage says that the command line or a file is wrong.
+	ExitUsage = subcommands.ExitUsageError
+	// ExitRefused says that the system refused a change.
+	ExitRefused = subcommands.ExitStatus(3)
+)
+
+// Shell is what all commands share.
+type Shell struct {
+	Build BuildInfo
+	Out   io.Writer
+	Err   io.Writer
+}
+
+// Logger returns the log of a command: JSON lines on standard error.
+func (s *Shell) Logger(level string) zerolog.Logger {
+	l, err := zerolog.ParseLevel(level)
+	if err != nil {
+		l = zerolog.InfoLevel
+	}
+	return zerolog.New(s.Err).Level(l).With().Timestamp().Logger()
+}
+
+// fail reports an error and returns the exit code.
+func (s *Shell) fail(code subcommands.ExitStatus, err error) subcommands.ExitStatus {
+	_, _ = fmt.Fprintf(s.Err, "buckthornpin: %v\n", err)
+	return code
+}
+
+// Main runs the command line and returns the exit code.
+func Main(build BuildInfo, args []string, out, errOut io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	flags := flag.NewFlagSet(args[0], flag.ContinueOnError)
+	flags.SetOutput(errOut)
+	c := subcommands.NewCommander(flags, "buckthornpin")
+	c.Output = out
+	c.Error = errOut
+	shell := &Shell{Build: build, Out: out, Err: errOut}
+	register(c, shell)
+	if err := flags.Parse(args[1:]); err != nil {
+		return int(ExitUsage)
+	}
+	return int(c.Execute(ctx))
+}
+
+func register(c *subcommands.Commander, s *Shell) {
+	c.Register(c.HelpCommand(), "")
+	c.Register(c.FlagsCommand(), "")
+	c.Register(c.CommandsCommand(), "")
+	c.Register(&demoCommand{Shell: s}, "developer")
+}
--- /dev/null
+++ b/app/process.go
@@ -0,0 +1,307 @@
+// Package app puts the parts of a process together and holds the commands of
+// the command line.
+package app
+
+import (
+	"context"
+	"crypto/tls"
+	"expvar"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+
+	"buckthornpin"
+	"buckthornpin/caller"
+	"buckthornpin/config"
+	"buckthornpin/conn"
+	"buckthornpin/ctrl"
+	"buckthornpin/endpt"
+	"buckthornpin/event"
+	"buckthornpin/oper"
+	"buckthornpin/peer"
+	"buckthornpin/router"
+	"buckthornpin/store"
+	"buckthornpin/wire"
+)
+
+const (
+	// stopTimeout bounds how long servers may take to close at a stop.
+	stopTimeout = 5 * time.Second
+	// registerRetry is the pause between two tries to register.
+	registerRetry = 200 * time.Millisecond
+)
+
+// Listeners are the open listeners of a process; a nil one is opened at the
+// address in the settings.
+type Listeners struct {
+	Caller, Endpt, Peer, Ctrl, Oper, Platf net.Listener
+}
+
+// Process is one process of the system. Its exported fields are set before
+// Open.
+type Process struct {
+	Settings  config.Settings
+	Build     BuildInfo
+	Log       zerolog.Logger
+	Listeners Listeners
+
+	line        *event.Line
+	clock       *event.Clock
+	files       *conn.Files
+	clientTLS   *tls.Config
+	secret      string
+	replica     *ctrl.Replica
+	links       *ctrl.Links
+	client      *ctrl.Client
+	batcher     *ctrl.Batcher
+	mirror      *ctrl.Mirror
+	directory   *peer.Directory
+	gossip      *peer.Gossip
+	router      *router.Router
+	callers     *caller.Server
+	operators   *oper.Server
+	announce    *endpt.Announcements
+	incarnation atomic.Int64
+	draining    atomic.Bool
+	refusing    atomic.Bool
+	metrics     *expvar.Map
+}
+
+// Open sets the process up and opens its listeners.
+func (p *Process) Open() error {
+	p.clock = &event.Clock{}
+	p.line = &event.Line{VM: p.Settings.VM, Role: roleName(p.Settings), Clock: p.clock}
+	p.metrics = new(expvar.Map)
+	p.Log = p.Log.With().Str("vm", p.Settings.VM).Str("zone", p.Settings.Zone).Str("role", roleName(p.Settings)).Logger()
+	for _, step := range []func() error{p.openTLS, p.openSecret, p.openListeners, p.openReplica, p.openClient, p.openRouter} {
+		if err := step(); err != nil {
+			return &Error{Op: "open", Kind: KindSetup, Err: err}
+		}
+	}
+	p.openOperators()
+	return nil
+}
+
+func roleName(s config.Settings) string {
+	if s.Has(config.RoleRouter) && s.Has(config.RoleControl) {
+		return config.RoleRouter + "+" + config.RoleControl
+	}
+	return s.Roles[0]
+}
+
+func (p *Process) openTLS() error {
+	t := p.Settings.TLS
+	if !t.Enabled {
+		return nil
+	}
+	p.files = &conn.Files{CertFile: t.CertFile, KeyFile: t.KeyFile, CAFile: t.CAFile}
+	var err error
+	p.clientTLS, err = p.files.Client()
+	return err
+}
+
+func (p *Process) openSecret() error {
+	path := p.Settings.Endpt.SecretFile
+	if path == "" {
+		return nil
+	}
+	secret, err := readSecret(path)
+	p.secret = secret
+	return err
+}
+
+func (p *Process) openListeners() error {
+	s, l := &p.Settings, &p.Listeners
+	all := []struct {
+		listener *net.Listener
+		address  *string
+		wanted   bool
+	}{
+		{&l.Oper, &s.Oper.Address, true},
+		{&l.Platf, &s.Platf.Address, true},
+		{&l.Caller, &s.Caller.Address, s.Has(config.RoleRouter)},
+		{&l.Endpt, &s.Endpt.Address, s.Has(config.RoleRouter)},
+		{&l.Peer, &s.Peer.Address, s.Has(config.RoleRouter)},
+		{&l.Ctrl, &s.Ctrl.Address, s.Has(config.RoleControl)},
+	}
+	for _, e := range all {
+		if !e.wanted {
+			continue
+		}
+		if err := openListener(e.listener, e.address); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// openListener opens a listener and notes the address that it got.
+func openListener(l *net.Listener, address *string) error {
+	if *l == nil {
+		opened, err := net.Listen("tcp", *address)
+		if err != nil {
+			return errors.Wrap(err, "listen")
+		}
+		*l = opened
+	}
+	*address = (*l).Addr().String()
+	return nil
+}
+
+func (p *Process) openReplica() error {
+	if !p.Settings.Has(config.RoleControl) {
+		return nil
+	}
+	p.links = &ctrl.Links{HTTP: conn.InternalClient(p.clientTLS), Scheme: conn.Scheme(p.clientTLS), Options: p.clientOptions()}
+	p.replica = &ctrl.Replica{
+		Folder: &store.Folder{Path: p.Settings.Ctrl.DataDir}, Transport: p.links, Events: p.line, Log: p.Log,
+		Tick: time.Duration(p.Settings.Ctrl.Tick), ElectionTicks: p.Settings.Ctrl.ElectionTicks, SnapshotBytes: p.Settings.Ctrl.SnapshotBytes,
+	}
+	if err := p.replica.Open(); err != nil {
+		return err
+	}
+	p.metrics.Set("replica", p.replica.Metrics())
+	return nil
+}
+
+func (p *Process) clientOptions() []connect.ClientOption {
+	return []connect.ClientOption{connect.WithInterceptors(p.clock.Interceptor())}
+}
+
+func (p *Process) openClient() error {
+	p.client = &ctrl.Client{
+		Addresses: p.Settings.Ctrl.Group, HTTP: conn.InternalClient(p.clientTLS),
+		Scheme: conn.Scheme(p.clientTLS), Options: p.clientOptions(),
+	}
+	p.batcher = &ctrl.Batcher{Client: p.client}
+	p.batcher.Open()
+	p.mirror = &ctrl.Mirror{Client: p.client, Router: p.Settings.VM, Events: p.line, Log: p.Log}
+	p.mirror.Open()
+	return nil
+}
+
+func (p *Process) openRouter() error {
+	if !p.Settings.Has(config.RoleRouter) {
+		return nil
+	}
+	s := p.Settings
+	p.directory = &peer.Directory{Events: p.line, DeadAfter: time.Duration(s.Endpt.DeadAfter), Addresses: p.mirror.AnnounceAddresses}
+	p.gossip = &peer.Gossip{
+		Router: s.VM, Address: s.Peer.Address, Directory: p.directory, HTTP: conn.InternalClient(p.clientTLS),
+		Scheme: conn.Scheme(p.clientTLS), Options: p.clientOptions(), Peers: p.mirror.Peers,
+		PeerOf: func(vm string) string { return p.mirror.RouterState(vm).GetPeerAddress() },
+	}
+	p.router = &router.Router{
+		VM: s.VM, Zone: s.Zone, Control: p.batcher, Directory: p.directory, Holders: p.gossip, Events: p.line, Log: p.Log,
+		Incarnation: p.incarnation.Load, Policy: p.mirror.Policy, DeadAfter: time.Duration(s.Endpt.DeadAfter),
+		MaxQueue: s.Route.MaxQueue, MaxAttempts: s.Route.MaxAttempts,
+		ReserveTimeout: time.Duration(s.Budget.ReserveTimeout), SettleTimeout: time.Duration(s.Budget.SettleTimeout),
+		ReconnectGrace: time.Duration(s.Caller.ReconnectGrace), KeptBytes: s.Caller.KeptBytes, ChargeOrphans: s.Budget.ChargeOrphans,
+		Endpoints: &endpt.Client{
+			HTTP: conn.ExternalClient(nil), FreshHTTP: conn.FreshClient(nil), Scheme: "http", Secret: p.endpointSecret,
+			Silence: time.Duration(s.Endpt.Silence), MaxAnswerBytes: s.Endpt.MaxAnswerBytes,
+		},
+	}
+	p.gossip.HoldsKey = p.router.Holds
+	p.callers = &caller.Server{
+		Accounts: p.mirror, Router: p.router, Models: p.directory, Events: p.line, MaxBodyBytes: s.Caller.MaxBodyBytes,
+		DefaultDeadline: time.Duration(s.Caller.DefaultDeadline), KeepAlive: time.Duration(s.Caller.KeepAlive),
+		WriteTimeout: time.Duration(s.Caller.WriteTimeout), Draining: p.refusing.Load,
+	}
+	refused := new(expvar.Int)
+	p.announce = &endpt.Announcements{Directory: p.directory, Events: p.line, Secret: p.endpointSecret, Refused: refused}
+	p.metrics.Set("router", p.router.Metrics())
+	p.metrics.Set("unauthorised_callers", p.callers.Unauthorised())
+	p.metrics.Set("unauthorised_endpoints", refused)
+	return nil
+}
+
+func (p *Process) endpointSecret() string { return p.secret }
+
+func (p *Process) openOperators() {
+	p.operators = &oper.Server{Control: p.client, Line: p.line, Status: p.Status, Operator: p.isOperator, Hash: caller.Hash}
+	p.metrics.Set("unauthorised_operators", p.operators.Unauthorised())
+	p.metrics.Set("version", expvar.Func(func() any { return p.mirror.Version() }))
+}
+
+func (p *Process) isOperator(hash string) bool {
+	for _, h := range p.Settings.Oper.KeyHashes {
+		if h == hash {
+			return true
+		}
+	}
+	return p.mirror.Operator(hash)
+}
+
+// Ready reports whether the process takes new work.
+func (p *Process) Ready() bool {
+	if !p.Settings.Has(config.RoleRouter) {
+		return true
+	}
+	return p.mirror.Ready() && p.incarnation.Load() > 0
+}
+
+// Status returns what the process says of itself.
+func (p *Process) Status() oper.Status {
+	s := oper.Status{
+		VM: p.Settings.VM, Zone: p.Settings.Zone, Roles: p.Settings.Roles, Build: p.Build.Version,
+		Ready: p.Ready(), Draining: p.draining.Load(), Version: p.mirror.Version(),
+	}
+	if p.replica != nil {
+		r := p.replica.Status()
+		s.Replica = &oper.ReplicaStatus{ID: r.ID, Role: r.Role, Leader: r.Leader, Term: r.Term, Commit: r.Commit, Applied: r.Applied}
+	}
+	if p.router != nil {
+		s.Requests = p.router.InProgress()
+		s.Endpoints = p.endpointStatus()
+	}
+	return s
+}
+
+func (p *Process) endpointStatus() []oper.EndpointStatus {
+	var out []oper.EndpointStatus
+	for _, e := range p.directory.Endpoints() {
+		out = append(out, oper.EndpointStatus{
+			Endpoint: e.ID, Zone: e.Zone, Models: e.Models, Services: e.Services, Running: e.Running,
+			Capacity: e.Capacity, Leaving: e.Leaving, AgeMS: time.Since(e.SeenAt).Milliseconds(),
+		})
+	}
+	return out
+}
+
+// register gives the router its incarnation, before which it takes no work.
+func (p *Process) register(ctx context.Context) error {
+	c := &wire.Command{Id: "register-" + uuid.NewString(), Op: &wire.Command_RegisterRouter{RegisterRouter: &wire.RegisterRouter{
+		Router: p.Settings.VM, Zone: p.Settings.Zone, OperAddress: p.Settings.Oper.Address,
+		PeerAddress: p.Settings.Peer.Address, EndptAddress: p.Settings.Endpt.Address,
+	}}}
+	for ctx.Err() == nil {
+		results, err := p.client.Execute(ctx, []*wire.Command{c})
+		if err == nil && results[0].GetKind() == wire.ResultKind_RESULT_KIND_OK {
+			p.incarnation.Store(results[0].GetVersion())
+			p.Log.Info().Int64("incarnation", results[0].GetVersion()).Msg("router is registered")
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(registerRetry):
+		}
+	}
+	return nil
+}
+
+func (p *Process) record(k buckthornpin.EventKind, detail string) {
+	p.line.Record(buckthornpin.Event{Kind: k, Detail: detail})
+}
+
+func (p *Process) connectMux(register func(mux *http.ServeMux, opts ...connect.HandlerOption)) http.Handler {
+	mux := http.NewServeMux()
+	register(mux, connect.WithInterceptors(p.clock.Interceptor()), connect.WithReadMaxBytes(store.MaxRecordBytes))
+	return mux
+}
--- /dev/null
+++ b/caller/chat.go
@@ -0,0 +1,225 @@
+package caller
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/kataras/iris/v12"
+
+	"buckthornpin"
+	"buckthornpin/endpt"
+	"buckthornpin/router"
+	"buckthornpin/stream"
+)
+
+// chatBody is the part of a chat request that the router looks into. All other
+// fields pass unchanged.
+type chatBody struct {
+	Model               string          `json:"model"`
+	Messages            json.RawMessage `json:"messages"`
+	MaxTokens           int             `json:"max_tokens"`
+	MaxCompletionTokens int             `json:"max_completion_tokens"`
+	N                   int             `json:"n"`
+	Stream              bool            `json:"stream"`
+}
+
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelItem `json:"data"`
+}
+
+type modelItem struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func (s *Server) listModels(ctx iris.Context) {
+	o, ok := s.organisation(ctx)
+	if !ok {
+		return
+	}
+	out := modelList{Object: "list", Data: []modelItem{}}
+	for _, m := range s.Models.Models() {
+		if allowed(o, m) {
+			out.Data = append(out.Data, modelItem{ID: m, Object: "model", OwnedBy: "buckthornpin"})
+		}
+	}
+	_ = ctx.JSON(out)
+}
+
+func (s *Server) chat(ctx iris.Context) {
+	r, o, ok := s.request(ctx)
+	if !ok {
+		return
+	}
+	b, err := decodeChat(r.Body)
+	if err != nil {
+		refuse(ctx, invalid(ctx, err))
+		return
+	}
+	if !allowed(o, b.Model) {
+		refuse(ctx, router.Refuse(http.StatusForbidden, router.CodeForbidden, "the organisation may not use model "+strconv.Quote(b.Model), r.Fresh, 0))
+		return
+	}
+	r, err = bounded(r, b, s.Accounts.Policy())
+	if err != nil {
+		refuse(ctx, invalid(ctx, err))
+		return
+	}
+	offset, err := lastEvent(ctx)
+	if err != nil {
+		refuse(ctx, invalid(ctx, err))
+		return
+	}
+	reader, refusal := s.Router.Start(r, offset)
+	if refusal != nil {
+		refuse(ctx, refusal)
+		return
+	}
+	defer reader.Close()
+	if b.Stream {
+		s.streamAnswer(ctx, reader)
+		return
+	}
+	s.wholeAnswer(ctx, reader, b.Model)
+}
+
+func decodeChat(body []byte) (chatBody, error) {
+	var b chatBody
+	if err := json.Unmarshal(body, &b); err != nil {
+		return b, errors.Wrap(err, "body: expected a JSON object")
+	}
+	if b.Model == "" {
+		return b, errors.New("model: expected the name of a model")
+	}
+	var messages []json.RawMessage
+	if err := json.Unmarshal(b.Messages, &messages); err != nil || len(messages) == 0 {
+		return b, errors.New("messages: expected a list of at least one message")
+	}
+	if b.N > 1 {
+		return b, errors.Errorf("n: %d: expected 1", b.N)
+	}
+	if b.MaxTokens < 0 || b.MaxCompletionTokens < 0 {
+		return b, errors.New("max_tokens, max_completion_tokens: expected at least 1")
+	}
+	return b, nil
+}
+
+// bounded sets the request's cost bound: a token of the prompt takes at least a
+// byte of the body, and the endpoint is told the output cap.
+func bounded(r buckthornpin.Request, b chatBody, p buckthornpin.Policy) (buckthornpin.Request, error) {
+	outputCap := p.OutputCap(max(b.MaxTokens, b.MaxCompletionTokens))
+	fields := map[string]json.RawMessage{}
+	if err := json.Unmarshal(r.Body, &fields); err != nil {
+		return r, errors.Wrap(err, "body")
+	}
+	delete(fields, "max_completion_tokens")
+	fields["max_tokens"] = json.RawMessage(strconv.Itoa(outputCap))
+	fields["stream"] = json.RawMessage("true")
+	fields["stream_options"] = json.RawMessage(`{"include_usage":true}`)
+	body, err := json.Marshal(fields)
+	if err != nil {
+		return r, errors.Wrap(err, "body")
+	}
+	r.Target = buckthornpin.Target{Model: b.Model}
+	bound := buckthornpin.Tokens(len(r.Body) + outputCap)
+	r.Body = body
+	return r.WithBound(bound, outputCap), nil
+}
+
+// lastEvent returns the number of output tokens that the caller has.
+func lastEvent(ctx iris.Context) (int, error) {
+	return number(ctx, LastEventHeader, 0, 0, 1<<30)
+}
+
+// streamAnswer sends the answer as server-sent events. The end mark comes only
+// behind a whole answer.
+func (s *Server) streamAnswer(ctx iris.Context, reader *stream.Reader) {
+	out := &eventWriter{ctx: ctx, timeout: s.WriteTimeout}
+	keepAlive := time.NewTimer(s.KeepAlive)
+	defer keepAlive.Stop()
+	for {
+		frames, whole, err := reader.NextOrTick(ctx.Request().Context(), keepAlive.C)
+		switch {
+		case errors.Is(err, stream.ErrTick):
+			err = out.comment()
+		case err != nil:
+			out.refuse(refusalOf(err))
+			return
+		case whole:
+			_ = out.end()
+			return
+		default:
+			err = out.frames(frames)
+		}
+		if err != nil {
+			return
+		}
+		keepAlive.Reset(s.KeepAlive)
+	}
+}
+
+// completion is a whole answer in the OpenAI shape.
+type completion struct {
+	ID      string             `json:"id"`
+	Object  string             `json:"object"`
+	Created int64              `json:"created"`
+	Model   string             `json:"model"`
+	Choices []completionChoice `json:"choices"`
+	Usage   *endpt.Usage       `json:"usage"`
+}
+
+type completionChoice struct {
+	Index        int               `json:"index"`
+	Message      completionMessage `json:"message"`
+	FinishReason string            `json:"finish_reason"`
+}
+
+type completionMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+func (s *Server) wholeAnswer(ctx iris.Context, reader *stream.Reader, model string) {
+	var text strings.Builder
+	out := completion{Object: "chat.completion", Created: time.Now().Unix(), Model: model}
+	finish := ""
+	for {
+		frames, whole, err := reader.Next(ctx.Request().Context())
+		if err != nil {
+			refuse(ctx, refusalOf(err))
+			return
+		}
+		if whole {
+			break
+		}
+		for _, f := range frames {
+			c, err := endpt.DecodeChunk(f.Data)
+			if err != nil {
+				refuse(ctx, refusalOf(err))
+				return
+			}
+			out.ID = c.ID
+			finish = collect(c, &text, finish)
+			out.Usage = c.Usage
+		}
+	}
+	out.Choices = []completionChoice{{Message: completionMessage{Role: "assistant", Content: text.String()}, FinishReason: finish}}
+	_ = ctx.JSON(out)
+}
+
+func collect(c endpt.Chunk, text *strings.Builder, finish string) string {
+	for _, choice := range c.Choices {
+		text.WriteString(choice.Delta.Content)
+		if choice.FinishReason != nil {
+			finish = *choice.FinishReason
+		}
+	}
+	return finish
+}
--- /dev/null
+++ b/caller/error.go
@@ -0,0 +1,14 @@
+package caller
+
+import "buckthornpin"
+
+// Kind classifies the errors of this package.
+type Kind string
+
+const (
+	// KindInvalid is a request that can't be understood.
+	KindInvalid Kind = "invalid"
+)
+
+// Error is the error type of this package.
+type Error = buckthornpin.OpError[Kind]
--- /dev/null
+++ b/caller/service.go
@@ -0,0 +1,54 @@
+package caller
+
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/kataras/iris/v12"
+
+	"buckthornpin"
+	"buckthornpin/router"
+)
+
+// service runs a call to a plain service.
+func (s *Server) service(ctx iris.Context) {
+	r, o, ok := s.request(ctx)
+	if !ok {
+		return
+	}
+	name := ctx.Params().Get("name")
+	if !allowed(o, name) {
+		refuse(ctx, router.Refuse(http.StatusForbidden, router.CodeForbidden, "the organisation may not use service "+strconv.Quote(name), r.Fresh, 0))
+		return
+	}
+	rule := s.Accounts.Policy().Service(name)
+	r.Target = buckthornpin.Target{Service: name}
+	r.NonIdempotent = r.NonIdempotent || rule.NonIdempotent
+	r.Method = ctx.Method()
+	r.ContentType = ctx.GetHeader("Content-Type")
+	if rest := ctx.Params().Get("rest"); rest != "" {
+		r.Path = "/" + rest
+	}
+	if q := ctx.Request().URL.RawQuery; q != "" {
+		r.Path += "?" + q
+	}
+	reader, refusal := s.Router.Start(r.WithBound(rule.Cost, 0), 0)
+	if refusal != nil {
+		refuse(ctx, refusal)
+		return
+	}
+	defer reader.Close()
+	frames, _, err := reader.NextWhole(ctx.Request().Context())
+	if err != nil {
+		refuse(ctx, refusalOf(err))
+		return
+	}
+	answer, err := router.DecodeServiceAnswer(frames[0].Data)
+	if err != nil {
+		refuse(ctx, refusalOf(err))
+		return
+	}
+	ctx.ContentType(answer.ContentType)
+	ctx.StatusCode(answer.Status)
+	_, _ = ctx.Write(answer.Body)
+}
--- /dev/null
+++ b/config/check.go
@@ -0,0 +1,139 @@
+package config
+
+import (
+	"net"
+	"slices"
+	"strconv"
+
+	"github.com/go-faster/errors"
+)
+
+// checker gathers problems.
+type checker struct {
+	problems []error
+}
+
+func (c *checker) expect(ok bool, field string, value any, want string) {
+	if !ok {
+		c.problems = append(c.problems, errors.Errorf("%s: %v: expected %s", field, value, want))
+	}
+}
+
+// Check returns all problems of the settings, each with its field, its value
+// and what was expected.
+func (s Settings) Check() error {
+	c := &checker{}
+	c.expect(s.VM != "", "vm", `""`, "the name of the VM")
+	c.expect(len(s.Zones) > 0, "zones", s.Zones, "at least one availability zone")
+	c.expect(slices.Contains(s.Zones, s.Zone), "zone", s.Zone, "one of zones")
+	s.checkRoles(c)
+	s.checkAddresses(c)
+	s.checkNumbers(c)
+	s.checkTLS(c)
+	c.expect(slices.Contains([]string{"debug", "info", "warn", "error"}, s.Log.Level), "log.level", s.Log.Level, "debug, info, warn or error")
+	return errors.Join(c.problems...)
+}
+
+func (s Settings) checkRoles(c *checker) {
+	c.expect(len(s.Roles) > 0, "roles", s.Roles, `"router", "control" or both`)
+	for _, r := range s.Roles {
+		c.expect(r == RoleRouter || r == RoleControl, "roles", r, `"router" or "control"`)
+	}
+	c.expect(!s.Has(RoleControl) || s.Ctrl.DataDir != "", "ctrl.data_dir", `""`, "the data folder of a control replica")
+	c.expect(len(s.Ctrl.Group) > 0, "ctrl.group", s.Ctrl.Group, "the addresses of the control replicas")
+	for _, h := range s.Oper.KeyHashes {
+		c.expect(len(h) == 64, "oper.key_hashes", h, "64 hexadecimal digits, as `buckthornpin key` prints them")
+	}
+}
+
+type namedAddress struct {
+	field, address string
+}
+
+// listeners returns the addresses that the process listens on.
+func (s Settings) listeners() []namedAddress {
+	out := []namedAddress{{"oper.address", s.Oper.Address}, {"platf.address", s.Platf.Address}}
+	if s.Has(RoleRouter) {
+		out = append(out, namedAddress{"caller.address", s.Caller.Address}, namedAddress{"endpt.address", s.Endpt.Address}, namedAddress{"peer.address", s.Peer.Address})
+	}
+	if s.Has(RoleControl) {
+		out = append(out, namedAddress{"ctrl.address", s.Ctrl.Address})
+	}
+	return out
+}
+
+func (s Settings) checkAddresses(c *checker) {
+	seen := map[string]string{}
+	for _, l := range s.listeners() {
+		c.expect(validAddress(l.address), l.field, l.address, "IP:PORT")
+		other, taken := seen[l.address]
+		c.expect(!taken || l.address == "" || anyPort(l.address), l.field, l.address, "an address other than that of "+other)
+		seen[l.address] = l.field
+	}
+	for _, a := range s.Ctrl.Group {
+		c.expect(validAddress(a), "ctrl.group", a, "IP:PORT")
+	}
+}
+
+func anyPort(address string) bool {
+	_, port, err := net.SplitHostPort(address)
+	return err == nil && port == "0"
+}
+
+func validAddress(address string) bool {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil || net.ParseIP(host) == nil {
+		return false
+	}
+	_, err = strconv.ParseUint(port, 10, 16)
+	return err == nil
+}
+
+func (s Settings) checkNumbers(c *checker) {
+	durations := []struct {
+		field string
+		value Duration
+	}{
+		{"caller.default_deadline", s.Caller.DefaultDeadline},
+		{"caller.keep_alive", s.Caller.KeepAlive},
+		{"caller.write_timeout", s.Caller.WriteTimeout},
+		{"endpt.dead_after", s.Endpt.DeadAfter},
+		{"endpt.silence", s.Endpt.Silence},
+		{"ctrl.tick", s.Ctrl.Tick},
+		{"platf.drain_timeout", s.Platf.DrainTimeout},
+		{"budget.reserve_timeout", s.Budget.ReserveTimeout},
+		{"budget.settle_timeout", s.Budget.SettleTimeout},
+	}
+	for _, d := range durations {
+		c.expect(d.value > 0, d.field, d.value, "a duration above 0")
+	}
+	numbers := []struct {
+		field string
+		value int64
+	}{
+		{"caller.max_body_bytes", s.Caller.MaxBodyBytes},
+		{"caller.max_header_bytes", int64(s.Caller.MaxHeaderBytes)},
+		{"endpt.max_answer_bytes", s.Endpt.MaxAnswerBytes},
+		{"ctrl.snapshot_bytes", s.Ctrl.SnapshotBytes},
+		{"route.max_queue", int64(s.Route.MaxQueue)},
+		{"route.max_attempts", int64(s.Route.MaxAttempts)},
+	}
+	for _, n := range numbers {
+		c.expect(n.value > 0, n.field, n.value, "a number above 0")
+	}
+	c.expect(s.Ctrl.ElectionTicks >= 4, "ctrl.election_ticks", s.Ctrl.ElectionTicks, "at least 4")
+}
+
+func (s Settings) checkTLS(c *checker) {
+	if s.TLS.Enabled {
+		c.expect(s.TLS.CertFile != "", "tls.cert_file", `""`, "a PEM file")
+		c.expect(s.TLS.KeyFile != "", "tls.key_file", `""`, "a PEM file")
+		c.expect(s.TLS.CAFile != "", "tls.ca_file", `""`, "a PEM file")
+		return
+	}
+	for _, l := range s.listeners() {
+		host, _, _ := net.SplitHostPort(l.address)
+		ip := net.ParseIP(host)
+		c.expect(ip == nil || ip.IsLoopback(), l.field, l.address, "a loopback address, or tls.enabled")
+	}
+}
--- /dev/null
+++ b/config/settings.go
@@ -0,0 +1,223 @@
+// Package config reads the settings of a process: a base file, overlays, and
+// defaults for what they leave out. All problems are reported at once.
+package config
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// Duration is a time span, written like "1.5s" in files.
+type Duration time.Duration
+
+// MarshalJSON implements json.Marshaler.
+func (d Duration) MarshalJSON() ([]byte, error) {
+	return json.Marshal(time.Duration(d).String())
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (d *Duration) UnmarshalJSON(data []byte) error {
+	var s string
+	if err := json.Unmarshal(data, &s); err != nil {
+		return errors.Errorf("%s: expected a duration such as \"1.5s\"", data)
+	}
+	v, err := time.ParseDuration(s)
+	if err != nil {
+		return errors.Errorf("%q: expected a duration such as \"1.5s\"", s)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// Settings are all settings of a process.
+type Settings struct {
+	// VM names the virtual machine; unique within the system.
+	VM string `json:"vm"`
+	// Zone is the availability zone of the VM.
+	Zone string `json:"zone"`
+	// Zones are the availability zones of the site.
+	Zones []string `json:"zones"`
+	// Roles are what the process does: "router", "control" or both.
+	Roles []string `json:"roles"`
+
+	Caller CallerSettings `json:"caller"`
+	Endpt  EndptSettings  `json:"endpt"`
+	Peer   PeerSettings   `json:"peer"`
+	Ctrl   CtrlSettings   `json:"ctrl"`
+	Oper   OperSettings   `json:"oper"`
+	Platf  PlatfSettings  `json:"platf"`
+	Route  RouteSettings  `json:"route"`
+	Budget BudgetSettings `json:"budget"`
+	TLS    TLSSettings    `json:"tls"`
+	Log    LogSettings    `json:"log"`
+}
+
+// CallerSettings are the settings of the callers' interface.
+type CallerSettings struct {
+	// Address is the IP:PORT that routers serve callers on.
+	Address string `json:"address"`
+	// MaxBodyBytes bounds the body of a request.
+	MaxBodyBytes int64 `json:"max_body_bytes"`
+	// MaxHeaderBytes bounds the headers of a request.
+	MaxHeaderBytes int `json:"max_header_bytes"`
+	// MaxConnections bounds the open connections; 0 is no bound.
+	MaxConnections int `json:"max_connections"`
+	// DefaultDeadline is the deadline of a request that names none.
+	DefaultDeadline Duration `json:"default_deadline"`
+	// KeepAlive is the time between comments on a silent stream.
+	KeepAlive Duration `json:"keep_alive"`
+	// WriteTimeout bounds how long a caller may take to accept a part of its answer.
+	WriteTimeout Duration `json:"write_timeout"`
+	// ReconnectGrace is how long an answer under a caller's own key goes on without a reader.
+	ReconnectGrace Duration `json:"reconnect_grace"`
+	// KeptBytes bounds the whole answers that a router keeps for callers that come again.
+	KeptBytes int `json:"kept_bytes"`
+}
+
+// EndptSettings are the settings of the endpoints' interface.
+type EndptSettings struct {
+	// Address is the IP:PORT that routers take announcements on.
+	Address string `json:"address"`
+	// SecretFile holds the secret shared with endpoints; empty asks for none.
+	SecretFile string `json:"secret_file"`
+	// DeadAfter is the age of an announcement beyond which an endpoint gets no work.
+	DeadAfter Duration `json:"dead_after"`
+	// Silence is the longest time without a byte before an answer counts as broken.
+	Silence Duration `json:"silence"`
+	// MaxAnswerBytes bounds the answer of a plain service.
+	MaxAnswerBytes int64 `json:"max_answer_bytes"`
+}
+
+// PeerSettings are the settings of the link between routers.
+type PeerSettings struct {
+	// Address is the IP:PORT that routers serve each other on.
+	Address string `json:"address"`
+}
+
+// CtrlSettings are the settings of the control group.
+type CtrlSettings struct {
+	// Address is the IP:PORT that a control replica serves on.
+	Address string `json:"address"`
+	// Group are the addresses of the control replicas.
+	Group []string `json:"group"`
+	// DataDir is the folder of a replica's state.
+	DataDir string `json:"data_dir"`
+	// Tick is the unit of the group's election and heartbeat times.
+	Tick Duration `json:"tick"`
+	// ElectionTicks is the shortest election timeout, in ticks.
+	ElectionTicks int `json:"election_ticks"`
+	// SnapshotBytes is the size of the log that starts a snapshot.
+	SnapshotBytes int64 `json:"snapshot_bytes"`
+}
+
+// OperSettings are the settings of the operators' interface.
+type OperSettings struct {
+	// Address is the IP:PORT that each process serves operators on.
+	Address string `json:"address"`
+	// KeyHashes are hashes of operators' keys that are valid from the start.
+	KeyHashes []string `json:"key_hashes"`
+}
+
+// PlatfSettings are the settings of what the platform's balancer asks.
+type PlatfSettings struct {
+	// Address is the IP:PORT for health, readiness and metrics.
+	Address string `json:"address"`
+	// DrainDelay is how long a stopping router still takes work, so that the balancer can notice.
+	DrainDelay Duration `json:"drain_delay"`
+	// DrainTimeout bounds how long requests in progress may take at a stop.
+	DrainTimeout Duration `json:"drain_timeout"`
+}
+
+// RouteSettings are the settings of the choice of endpoints.
+type RouteSettings struct {
+	// MaxQueue bounds the requests that wait for an endpoint in one router.
+	MaxQueue int `json:"max_queue"`
+	// MaxAttempts bounds the endpoints that one request is tried on.
+	MaxAttempts int `json:"max_attempts"`
+}
+
+// BudgetSettings are the settings of reservations and bills.
+type BudgetSettings struct {
+	// ReserveTimeout bounds how long a reservation may take.
+	ReserveTimeout Duration `json:"reserve_timeout"`
+	// SettleTimeout bounds how long the bill of a whole answer may take.
+	SettleTimeout Duration `json:"settle_timeout"`
+	// ChargeOrphans bills the bound of a request whose router died and that nobody retried: true where overspend weighs more, false where false refusals do.
+	ChargeOrphans bool `json:"charge_orphans"`
+}
+
+// TLSSettings are the settings of encrypted connections.
+type TLSSettings struct {
+	// Enabled turns TLS on; it may be off only where all addresses are loopback.
+	Enabled bool `json:"enabled"`
+	// CertFile, KeyFile and CAFile are PEM files. The processes show each other certificates of the same authority.
+	CertFile string `json:"cert_file"`
+	KeyFile  string `json:"key_file"`
+	CAFile   string `json:"ca_file"`
+}
+
+// LogSettings are the settings of the log.
+type LogSettings struct {
+	// Level is "debug", "info", "warn" or "error".
+	Level string `json:"level"`
+}
+
+// Defaults returns the settings in force where files name nothing else.
+func Defaults() Settings {
+	return Settings{
+		Caller: CallerSettings{
+			Address:         "127.0.0.1:8080",
+			MaxBodyBytes:    4 << 20,
+			MaxHeaderBytes:  64 << 10,
+			MaxConnections:  10000,
+			DefaultDeadline: Duration(2 * time.Minute),
+			KeepAlive:       Duration(5 * time.Second),
+			WriteTimeout:    Duration(20 * time.Second),
+			ReconnectGrace:  Duration(5 * time.Second),
+			KeptBytes:       64 << 20,
+		},
+		Endpt: EndptSettings{
+			Address:        "127.0.0.1:8081",
+			DeadAfter:      Duration(5 * time.Second),
+			Silence:        Duration(5 * time.Second),
+			MaxAnswerBytes: 4 << 20,
+		},
+		Peer: PeerSettings{Address: "127.0.0.1:8082"},
+		Ctrl: CtrlSettings{
+			Address:       "127.0.0.1:8083",
+			Tick:          Duration(50 * time.Millisecond),
+			ElectionTicks: 10,
+			SnapshotBytes: 16 << 20,
+		},
+		Oper: OperSettings{Address: "127.0.0.1:8084"},
+		Platf: PlatfSettings{
+			Address:      "127.0.0.1:8085",
+			DrainDelay:   Duration(2 * time.Second),
+			DrainTimeout: Duration(60 * time.Second),
+		},
+		Route: RouteSettings{MaxQueue: 1000, MaxAttempts: 4},
+		Budget: BudgetSettings{
+			ReserveTimeout: Duration(3 * time.Second),
+			SettleTimeout:  Duration(10 * time.Second),
+		},
+		Log: LogSettings{Level: "info"},
+	}
+}
+
+// Roles of a process.
+const (
+	RoleRouter  = "router"
+	RoleControl = "control"
+)
+
+// Has reports whether the process has a role.
+func (s Settings) Has(role string) bool {
+	for _, r := range s.Roles {
+		if r == role {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/conn/server.go
@@ -0,0 +1,83 @@
+package conn
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/net/netutil"
+
+	"buckthornpin"
+)
+
+const (
+	// readHeaderTimeout bounds how long a client may take to send its headers.
+	readHeaderTimeout = 10 * time.Second
+	// keptOpen is how long a connection without a request is kept.
+	keptOpen = 2 * time.Minute
+)
+
+// Server serves one address until its context ends. Its exported fields are set
+// before Run.
+type Server struct {
+	// Listener is the open listener; Run closes it.
+	Listener net.Listener
+	Handler  http.Handler
+	// TLS is nil for plain connections.
+	TLS *tls.Config
+	// MaxConnections bounds the open connections; 0 is no bound.
+	MaxConnections int
+	// MaxHeaderBytes bounds the headers of a request.
+	MaxHeaderBytes int
+	// DrainTimeout bounds how long requests in progress may take once the
+	// context has ended.
+	DrainTimeout time.Duration
+	// Internal allows HTTP/2 without TLS.
+	Internal bool
+}
+
+// Run serves until ctx ends and the requests in progress have ended.
+func (s *Server) Run(ctx context.Context) error {
+	srv := &http.Server{
+		Handler:           s.Handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       keptOpen,
+		MaxHeaderBytes:    s.MaxHeaderBytes,
+		Protocols:         new(http.Protocols),
+		HTTP2:             &http.HTTP2Config{SendPingTimeout: PingAfter, PingTimeout: PingTimeout, MaxConcurrentStreams: 1 << 16},
+	}
+	srv.Protocols.SetHTTP1(true)
+	srv.Protocols.SetHTTP2(true)
+	srv.Protocols.SetUnencryptedHTTP2(s.Internal && s.TLS == nil)
+	done := make(chan error, 1)
+	go func() { done <- srv.Serve(s.listener()) }()
+	select {
+	case err := <-done:
+		return errors.Wrap(err, "serve")
+	case <-ctx.Done():
+	}
+	return s.drain(ctx, srv)
+}
+
+func (s *Server) drain(ctx context.Context, srv *http.Server) error {
+	drainCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.DrainTimeout)
+	defer cancel()
+	if err := srv.Shutdown(drainCtx); err != nil {
+		return buckthornpin.WrapIf(srv.Close(), "close")
+	}
+	return nil
+}
+
+func (s *Server) listener() net.Listener {
+	l := s.Listener
+	if s.MaxConnections > 0 {
+		l = netutil.LimitListener(l, s.MaxConnections)
+	}
+	if s.TLS != nil {
+		return tls.NewListener(l, s.TLS)
+	}
+	return l
+}
--- /dev/null
+++ b/ctrl/mirror.go
@@ -0,0 +1,200 @@
+package ctrl
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"buckthornpin"
+	"buckthornpin/wire"
+)
+
+const (
+	// syncWait is how long a router waits for news in one call; it is also the
+	// interval of the pull behind the push.
+	syncWait = 2 * time.Second
+	// syncRetry is the pause after a failed call.
+	syncRetry = 200 * time.Millisecond
+)
+
+// Mirror is a router's copy of what routers have to know: keys, organisations
+// and the configuration in force. Versions only rise. Its exported fields are
+// set before Run.
+type Mirror struct {
+	Client *Client
+	Router string
+	Events buckthornpin.Recorder
+	Log    zerolog.Logger
+
+	mu            sync.RWMutex
+	revision      int64
+	keys          map[string]*wire.KeyState
+	organisations map[string]*wire.OrganisationState
+	routers       map[string]*wire.RouterState
+	version       int64
+	heard         bool
+	policy        atomic.Pointer[buckthornpin.Policy]
+	heardAt       atomic.Int64
+}
+
+// Open prepares the mirror. It comes before Run.
+func (m *Mirror) Open() {
+	m.keys = map[string]*wire.KeyState{}
+	m.organisations = map[string]*wire.OrganisationState{}
+	m.routers = map[string]*wire.RouterState{}
+	p := buckthornpin.DefaultPolicy()
+	m.policy.Store(&p)
+}
+
+// Run follows the control group until ctx ends.
+func (m *Mirror) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		reply, err := m.Client.Sync(ctx, m.request())
+		if err != nil {
+			pause(ctx, syncRetry)
+			continue
+		}
+		m.take(reply)
+	}
+	return nil
+}
+
+func (m *Mirror) request() *wire.SyncRequest {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	r := &wire.SyncRequest{Router: m.Router, Revision: m.revision}
+	if m.heard {
+		r.WaitMs = syncWait.Milliseconds()
+	}
+	return r
+}
+
+func (m *Mirror) take(reply *wire.SyncReply) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.heard = true
+	m.heardAt.Store(time.Now().UnixMilli())
+	if reply.GetRevision() <= m.revision {
+		return
+	}
+	m.revision = reply.GetRevision()
+	for _, k := range reply.GetKeys() {
+		m.keys[k.GetHash()] = k
+	}
+	for _, o := range reply.GetOrganisations() {
+		m.organisations[o.GetOrganisation()] = o
+	}
+	for _, r := range reply.GetRouters() {
+		m.routers[r.GetRouter()] = r
+	}
+	m.takeConfiguration(reply.GetConfiguration())
+}
+
+func (m *Mirror) takeConfiguration(c *wire.ConfigurationState) {
+	if c.GetVersion() <= m.version {
+		return
+	}
+	p, err := buckthornpin.DecodePolicy(c.GetContent())
+	if err != nil {
+		m.Log.Error().Err(err).Int64("version", c.GetVersion()).Msg("configuration can't be used")
+		return
+	}
+	m.version = c.GetVersion()
+	m.policy.Store(&p)
+	m.Events.Record(buckthornpin.Event{Kind: buckthornpin.EventConfiguration, Request: c.GetChange(), Detail: "in force here"})
+	m.Log.Info().Int64("version", c.GetVersion()).Msg("configuration is in force")
+}
+
+// Ready reports whether the router has heard a quorum's version.
+func (m *Mirror) Ready() bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.heard
+}
+
+// Version returns the version of the configuration in force here.
+func (m *Mirror) Version() int64 {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.version
+}
+
+// HeardAt returns when control was last heard, in Unix milliseconds; 0 is
+// never.
+func (m *Mirror) HeardAt() int64 { return m.heardAt.Load() }
+
+// Policy returns the configuration in force here.
+func (m *Mirror) Policy() buckthornpin.Policy { return *m.policy.Load() }
+
+// Caller returns the organisation of a caller's key by the key's hash.
+func (m *Mirror) Caller(hash string) (*wire.OrganisationState, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	k, ok := m.keys[hash]
+	if !ok || k.GetRevoked() || k.GetOrganisation() == "" {
+		return nil, false
+	}
+	o, ok := m.organisations[k.GetOrganisation()]
+	return o, ok
+}
+
+// Operator reports whether a hash is that of an operator's key.
+func (m *Mirror) Operator(hash string) bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	k, ok := m.keys[hash]
+	return ok && !k.GetRevoked() && k.GetOrganisation() == ""
+}
+
+// RouterState returns what is registered of a router, or nil.
+func (m *Mirror) RouterState(vm string) *wire.RouterState {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.routers[vm]
+}
+
+// Peers returns the peer addresses of the other registered routers.
+func (m *Mirror) Peers() []string {
+	return m.addresses(func(vm string, r *wire.RouterState) string {
+		if vm == m.Router {
+			return ""
+		}
+		return r.GetPeerAddress()
+	})
+}
+
+// AnnounceAddresses returns the addresses on which routers take announcements.
+func (m *Mirror) AnnounceAddresses() []string {
+	return m.addresses(func(_ string, r *wire.RouterState) string { return r.GetEndptAddress() })
+}
+
+// OperAddresses returns the addresses on which routers serve operators.
+func (m *Mirror) OperAddresses() []string {
+	return m.addresses(func(_ string, r *wire.RouterState) string { return r.GetOperAddress() })
+}
+
+func (m *Mirror) addresses(of func(vm string, r *wire.RouterState) string) []string {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	var out []string
+	for vm, r := range m.routers {
+		if a := of(vm, r); a != "" {
+			out = append(out, a)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/ctrl/replica.go
@@ -0,0 +1,437 @@
+// Package ctrl runs a replica of the control group and the client that routers
+// and operators use. Commands are committed in groups: one sync serves many.
+package ctrl
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	"buckthornpin"
+	"buckthornpin/ledger"
+	"buckthornpin/quorum"
+	"buckthornpin/store"
+	"buckthornpin/wire"
+)
+
+const (
+	// DefaultTick is the unit of the election and heartbeat times.
+	DefaultTick = 50 * time.Millisecond
+	// DefaultElectionTicks is the shortest election timeout in ticks.
+	DefaultElectionTicks = 10
+	// DefaultHeartbeatTicks is the heartbeat interval in ticks.
+	DefaultHeartbeatTicks = 2
+	// DefaultSnapshotBytes is the size of the log that starts a snapshot.
+	DefaultSnapshotBytes = 16 << 20
+	// maxGroup bounds the calls that one entry of the log carries.
+	maxGroup = 1024
+	// queueLength bounds the calls that wait for the loop.
+	queueLength = 4096
+)
+
+// Transport carries messages to other replicas. It may lose them.
+type Transport interface {
+	Send(to *wire.Member, m *wire.Message)
+}
+
+// Replica is one replica of the control group. Its exported fields are set
+// before Run.
+type Replica struct {
+	Folder        *store.Folder
+	Transport     Transport
+	Events        buckthornpin.Recorder
+	Log           zerolog.Logger
+	Tick          time.Duration
+	ElectionTicks int
+	SnapshotBytes int64
+	// CheckEach verifies the ledger's invariants after each entry.
+	CheckEach bool
+
+	node    *quorum.Node
+	mu      sync.RWMutex
+	ledger  *ledger.Ledger
+	applied uint64
+	changed chan struct{}
+	calls   chan call
+	inbox   chan []*wire.Message
+	stopped chan struct{}
+	waiting map[uint64]*group
+	reads   map[uint64]*readCall
+	ready   []*readCall
+	token   uint64
+	stamps  stamper
+	status  atomic.Pointer[Status]
+	metrics replicaMetrics
+}
+
+// Status is what a replica says of itself.
+type Status struct {
+	ID      string        `json:"id"`
+	Role    string        `json:"role"`
+	Leader  string        `json:"leader"`
+	Term    uint64        `json:"term"`
+	Commit  uint64        `json:"commit"`
+	Applied uint64        `json:"applied"`
+	Members *wire.Members `json:"members"`
+}
+
+// Open reads the data folder. It comes before Run.
+func (r *Replica) Open() error {
+	c, err := r.Folder.Open()
+	if err != nil {
+		return err
+	}
+	r.setDefaults()
+	l, err := restoreLedger(c.Snapshot)
+	if err != nil {
+		return err
+	}
+	r.ledger = l
+	r.applied = c.Snapshot.GetIndex()
+	r.node = &quorum.Node{
+		ID: c.Identity.GetReplica(), ElectionTicks: r.ElectionTicks,
+		HeartbeatTicks: DefaultHeartbeatTicks, Rand: rand.IntN,
+	}
+	r.node.Restore(c.HardState, c.Snapshot, c.Entries)
+	r.publish()
+	r.Log.Info().Str("replica", r.node.ID).Int("entries", len(c.Entries)).Int64("torn_bytes", c.TornBytes).Msg("data folder is open")
+	return nil
+}
+
+func (r *Replica) setDefaults() {
+	if r.Tick == 0 {
+		r.Tick = DefaultTick
+	}
+	if r.ElectionTicks == 0 {
+		r.ElectionTicks = DefaultElectionTicks
+	}
+	if r.SnapshotBytes == 0 {
+		r.SnapshotBytes = DefaultSnapshotBytes
+	}
+	r.changed = make(chan struct{})
+	r.calls = make(chan call, queueLength)
+	r.inbox = make(chan []*wire.Message, queueLength)
+	r.stopped = make(chan struct{})
+	r.waiting = map[uint64]*group{}
+	r.reads = map[uint64]*readCall{}
+}
+
+func restoreLedger(s *wire.Snapshot) (*ledger.Ledger, error) {
+	if s == nil || len(s.GetData()) == 0 {
+		return ledger.Empty(), nil
+	}
+	return ledger.Restore(s.GetData())
+}
+
+// Run serves until ctx ends or the disk fails.
+func (r *Replica) Run(ctx context.Context) error {
+	defer close(r.stopped)
+	defer r.failAll()
+	ticker := time.NewTicker(r.Tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return r.Folder.Close()
+		case <-ticker.C:
+			r.node.Tick()
+		case c := <-r.calls:
+			r.takeCalls(c)
+		case ms := <-r.inbox:
+			r.takeMessages(ms)
+		}
+		if err := r.work(); err != nil {
+			return errors.Join(err, r.Folder.Close())
+		}
+	}
+}
+
+// takeCalls takes a call and those that wait behind it, and proposes them as
+// one entry.
+func (r *Replica) takeCalls(first call) {
+	g := &group{}
+	first.start(r, g)
+	for n := 1; n < maxGroup; n++ {
+		select {
+		case c := <-r.calls:
+			c.start(r, g)
+			continue
+		default:
+		}
+		break
+	}
+	r.propose(g)
+	r.node.ConfirmReads()
+}
+
+func (r *Replica) takeMessages(ms []*wire.Message) {
+	for {
+		for _, m := range ms {
+			r.node.Step(m)
+		}
+		select {
+		case ms = <-r.inbox:
+		default:
+			return
+		}
+	}
+}
+
+func (r *Replica) propose(g *group) {
+	if len(g.commands) == 0 {
+		return
+	}
+	at := r.stamps.next(r.node.Term(), r.ledger.NowMS())
+	for _, c := range g.commands {
+		c.AtMs = at
+	}
+	data, err := proto.Marshal(&wire.CommandBatch{Commands: g.commands})
+	if err != nil {
+		g.fail(err)
+		return
+	}
+	index, term, err := r.node.Propose(data)
+	if err != nil {
+		g.fail(r.notLeader("execute"))
+		return
+	}
+	g.term = term
+	r.waiting[index] = g
+}
+
+// work does what the node asks for until nothing is left.
+func (r *Replica) work() error {
+	r.promoteLearners()
+	for {
+		ready := r.node.Ready()
+		if ready.Empty() {
+			r.publish()
+			return nil
+		}
+		if err := r.handle(ready); err != nil {
+			return err
+		}
+		r.node.Advance(ready)
+		if err := r.snapshotIfLarge(); err != nil {
+			return err
+		}
+	}
+}
+
+// handle does the work in the order that keeps promises durable. A leader's
+// entries may travel while its own disk writes: it doesn't count itself before.
+func (r *Replica) handle(ready quorum.Ready) error {
+	early := r.node.Role() == quorum.Leader && ready.Snapshot == nil && !r.newTerm(ready.HardState)
+	if early {
+		r.sendAll(ready.Messages)
+	}
+	if err := r.save(ready); err != nil {
+		return err
+	}
+	if !early {
+		r.sendAll(ready.Messages)
+	}
+	for _, e := range ready.Committed {
+		if err := r.apply(e); err != nil {
+			return err
+		}
+	}
+	r.finishReads(ready.Reads)
+	return nil
+}
+
+func (r *Replica) newTerm(h *wire.HardState) bool {
+	return h != nil && (h.GetTerm() != r.stamps.savedTerm || h.GetVote() != r.stamps.savedVote)
+}
+
+func (r *Replica) save(ready quorum.Ready) error {
+	sync := len(ready.Entries) > 0 || r.newTerm(ready.HardState)
+	if ready.HardState != nil {
+		r.stamps.savedTerm, r.stamps.savedVote = ready.HardState.GetTerm(), ready.HardState.GetVote()
+	}
+	if ready.Snapshot != nil {
+		return r.installSnapshot(ready)
+	}
+	if ready.HardState == nil && len(ready.Entries) == 0 {
+		return nil
+	}
+	if sync {
+		r.metrics.syncs.Add(1)
+		r.metrics.entries.Add(int64(len(ready.Entries)))
+	}
+	return r.Folder.Save(ready.HardState, ready.Entries, sync)
+}
+
+func (r *Replica) installSnapshot(ready quorum.Ready) error {
+	l, err := restoreLedger(ready.Snapshot)
+	if err != nil {
+		return err
+	}
+	if err := r.Folder.SaveSnapshot(ready.Snapshot, ready.HardState, ready.Entries); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ledger = l
+	r.applied = ready.Snapshot.GetIndex()
+	r.wake()
+	return nil
+}
+
+func (r *Replica) apply(e *wire.Entry) error {
+	batch := &wire.CommandBatch{}
+	if err := proto.Unmarshal(e.GetData(), batch); err != nil {
+		return &ledger.Error{Op: "apply", Kind: ledger.KindCorrupt, Err: err}
+	}
+	results := r.applyBatch(e.GetIndex(), batch)
+	if r.CheckEach {
+		if err := r.ledger.Check(); err != nil {
+			return err
+		}
+	}
+	g := r.waiting[e.GetIndex()]
+	delete(r.waiting, e.GetIndex())
+	if g != nil {
+		g.finish(e.GetTerm(), results)
+	}
+	return nil
+}
+
+func (r *Replica) applyBatch(index uint64, b *wire.CommandBatch) []*wire.Result {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	before := r.ledger.Revision()
+	results := make([]*wire.Result, 0, len(b.GetCommands()))
+	for _, c := range b.GetCommands() {
+		results = append(results, r.ledger.Apply(c))
+	}
+	r.metrics.commands.Add(int64(len(results)))
+	r.applied = index
+	if r.ledger.Revision() != before {
+		r.wake()
+	}
+	return results
+}
+
+// wake tells those who wait for a newer revision. The caller holds mu.
+func (r *Replica) wake() {
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// snapshotIfLarge runs between two rounds of work, when all that the files hold
+// is known to the node as durable.
+func (r *Replica) snapshotIfLarge() error {
+	if r.Folder.LogBytes() < r.SnapshotBytes || r.node.Applied() != r.applied {
+		return nil
+	}
+	data, err := r.ledger.Snapshot()
+	if err != nil {
+		return err
+	}
+	term, members := r.node.TermAt(r.applied)
+	s := &wire.Snapshot{Index: r.applied, Term: term, Members: members, Data: data}
+	if err := r.node.Compact(r.applied); err != nil {
+		return err
+	}
+	h, rest := r.node.Unsnapshotted()
+	if err := r.Folder.SaveSnapshot(s, h, rest); err != nil {
+		return err
+	}
+	r.Events.Record(buckthornpin.Event{Kind: buckthornpin.EventSnapshot})
+	return nil
+}
+
+func (r *Replica) sendAll(ms []*wire.Message) {
+	members := map[string]*wire.Member{}
+	for _, m := range r.node.Members().GetMembers() {
+		members[m.GetId()] = m
+	}
+	for _, m := range ms {
+		to, ok := members[m.GetTo()]
+		if !ok {
+			continue
+		}
+		if m.GetKind() == wire.MessageKind_MESSAGE_KIND_SNAPSHOT {
+			s, err := r.Folder.Snapshot()
+			if err != nil || s == nil {
+				r.Log.Error().Err(err).Msg("snapshot can't be read")
+				continue
+			}
+			m.Snapshot = s
+		}
+		r.Transport.Send(to, m)
+	}
+}
+
+// promoteLearners makes a learner a voter once it holds what was committed.
+func (r *Replica) promoteLearners() {
+	if r.node.Role() != quorum.Leader {
+		return
+	}
+	next := proto.CloneOf(r.node.Members())
+	for _, m := range next.GetMembers() {
+		if m.GetLearner() && r.node.Match(m.GetId()) >= r.node.Committed() && r.node.Match(m.GetId()) > 0 {
+			m.Learner = false
+			if _, _, err := r.node.ProposeMembers(next); err == nil {
+				r.Events.Record(buckthornpin.Event{Kind: buckthornpin.EventMembers, Detail: m.GetId() + " is a voter"})
+			}
+			return
+		}
+	}
+}
+
+func (r *Replica) publish() {
+	s := &Status{
+		ID: r.node.ID, Role: r.node.Role().String(), Leader: r.node.Leader(), Term: r.node.Term(),
+		Commit: r.node.Committed(), Applied: r.applied, Members: r.node.Members(),
+	}
+	old := r.status.Swap(s)
+	if old != nil && old.Leader != s.Leader {
+		r.recordLeader(s)
+	}
+}
+
+func (r *Replica) recordLeader(s *Status) {
+	kind := buckthornpin.EventLeader
+	if s.Leader == "" {
+		kind = buckthornpin.EventLeaderLost
+	}
+	r.Events.Record(buckthornpin.Event{Kind: kind, Detail: s.Leader})
+	r.Log.Info().Str("leader", s.Leader).Uint64("term", s.Term).Msg("leader changed")
+	if s.Role != quorum.Leader.String() {
+		r.failWaiting()
+	}
+}
+
+// Status returns the replica's view of its group.
+func (r *Replica) Status() Status { return *r.status.Load() }
+
+// LeaderAddress returns the address of the leader, or "".
+func (r *Replica) LeaderAddress() string {
+	s := r.status.Load()
+	for _, m := range s.Members.GetMembers() {
+		if m.GetId() == s.Leader {
+			return m.GetAddress()
+		}
+	}
+	return ""
+}
+
+// Deliver takes messages from another replica.
+func (r *Replica) Deliver(ctx context.Context, ms []*wire.Message) error {
+	select {
+	case r.inbox <- ms:
+		return nil
+	case <-r.stopped:
+		return &Error{Op: "deliver", Kind: KindStopped}
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/ctrl/service.go
@@ -0,0 +1,177 @@
+package ctrl
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
+
+	"buckthornpin"
+	"buckthornpin/ledger"
+	"buckthornpin/wire"
+)
+
+// maxSyncWait bounds how long a Sync call may wait for news.
+const maxSyncWait = 30 * time.Second
+
+// Service serves the replica to other replicas, routers and operators.
+type Service struct {
+	Replica *Replica
+	Events  buckthornpin.Recorder
+}
+
+// Register adds the service's handlers to mux.
+func (s *Service) Register(mux *http.ServeMux, opts ...connect.HandlerOption) {
+	mux.Handle(wire.NewReplicasHandler(s, opts...))
+	mux.Handle(wire.NewControlHandler(s, opts...))
+}
+
+// Deliver implements wire.ReplicasHandler.
+func (s *Service) Deliver(ctx context.Context, r *wire.DeliverRequest) (*wire.DeliverReply, error) {
+	return &wire.DeliverReply{}, s.Replica.Deliver(ctx, r.GetMessages())
+}
+
+// Execute implements wire.ControlHandler.
+func (s *Service) Execute(ctx context.Context, r *wire.ExecuteRequest) (*wire.ExecuteReply, error) {
+	results, err := s.Replica.Execute(ctx, r.GetCommands())
+	if notLeader(err) {
+		return &wire.ExecuteReply{NotLeader: true, LeaderAddress: s.Replica.LeaderAddress()}, nil
+	}
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	s.recordChanges(r.GetCommands(), results)
+	return &wire.ExecuteReply{Results: results}, nil
+}
+
+func (s *Service) recordChanges(commands []*wire.Command, results []*wire.Result) {
+	for i, c := range commands {
+		if e, ok := changeEvent(c, results[i]); ok {
+			s.Events.Record(e)
+		}
+	}
+}
+
+// changeEvent returns the event of a change that an operator or a starting
+// router made.
+func changeEvent(c *wire.Command, r *wire.Result) (buckthornpin.Event, bool) {
+	e := buckthornpin.Event{Kind: buckthornpin.EventChange, Request: c.GetId(), Detail: r.GetKind().String()}
+	switch op := c.GetOp().(type) {
+	case *wire.Command_TopUp:
+		e.Organisation = op.TopUp.GetOrganisation()
+	case *wire.Command_PutOrganisation:
+		e.Organisation = op.PutOrganisation.GetOrganisation()
+	case *wire.Command_PutConfiguration:
+		e.Kind = buckthornpin.EventConfiguration
+	case *wire.Command_RegisterRouter:
+		e.Detail = "router " + op.RegisterRouter.GetRouter()
+	default:
+		return e, false
+	}
+	return e, true
+}
+
+// Sync implements wire.ControlHandler. It answers at once where the router lacks
+// a revision, and else waits for the next one: news is pushed within a round
+// trip, and the pull behind it repairs what got lost.
+func (s *Service) Sync(ctx context.Context, r *wire.SyncRequest) (*wire.SyncReply, error) {
+	wait := min(time.Duration(r.GetWaitMs())*time.Millisecond, maxSyncWait)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		changed := s.Replica.Changed()
+		reply, err := s.changedSince(ctx, r.GetRevision())
+		if err != nil || reply.GetNotLeader() || reply.GetRevision() > r.GetRevision() || wait <= 0 {
+			return reply, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return reply, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (s *Service) changedSince(ctx context.Context, revision int64) (*wire.SyncReply, error) {
+	var reply *wire.SyncReply
+	err := s.Replica.Read(ctx, func(l *ledger.Ledger) {
+		reply = proto.CloneOf(l.ChangedSince(revision))
+	})
+	if notLeader(err) {
+		return &wire.SyncReply{NotLeader: true, LeaderAddress: s.Replica.LeaderAddress()}, nil
+	}
+	return reply, err
+}
+
+// Inspect implements wire.ControlHandler.
+func (s *Service) Inspect(ctx context.Context, r *wire.InspectRequest) (*wire.InspectReply, error) {
+	out := &wire.InspectReply{}
+	err := s.Replica.Read(ctx, func(l *ledger.Ledger) {
+		out.Organisations = cloneAll(l.Organisations())
+		out.Routers = cloneAll(l.Routers())
+		out.Leases = cloneAll(l.Leases())
+		out.OpenReservations = l.OpenReservations()
+		out.Configurations = cloneAll(configurations(l, r.GetHistory()))
+	})
+	if notLeader(err) {
+		return &wire.InspectReply{NotLeader: true, LeaderAddress: s.Replica.LeaderAddress()}, nil
+	}
+	status := s.Replica.Status()
+	out.Members = status.Members
+	out.Applied = status.Applied
+	return out, err
+}
+
+func configurations(l *ledger.Ledger, history bool) []*wire.ConfigurationState {
+	all := l.Configurations()
+	if history || len(all) == 0 {
+		return all
+	}
+	return all[len(all)-1:]
+}
+
+// ChangeMembers implements wire.ControlHandler. An added replica starts as a
+// learner and votes once it holds the log.
+func (s *Service) ChangeMembers(ctx context.Context, r *wire.ChangeMembersRequest) (*wire.ChangeMembersReply, error) {
+	err := s.Replica.ChangeMembers(ctx, func(m *wire.Members) *wire.Members { return changed(m, r) })
+	out := &wire.ChangeMembersReply{Members: s.Replica.Status().Members}
+	if notLeader(err) {
+		out.NotLeader = true
+		out.LeaderAddress = s.Replica.LeaderAddress()
+		return out, nil
+	}
+	if err != nil {
+		out.Problem = err.Error()
+	}
+	return out, nil
+}
+
+func changed(m *wire.Members, r *wire.ChangeMembersRequest) *wire.Members {
+	out := &wire.Members{}
+	for _, old := range m.GetMembers() {
+		if old.GetId() != r.GetRemove() && old.GetId() != r.GetAdd().GetId() {
+			out.Members = append(out.Members, old)
+		}
+	}
+	if r.GetAdd() != nil {
+		out.Members = append(out.Members, &wire.Member{Id: r.GetAdd().GetId(), Address: r.GetAdd().GetAddress(), Learner: true})
+	}
+	return out
+}
+
+func cloneAll[M proto.Message](ms []M) []M {
+	out := make([]M, 0, len(ms))
+	for _, m := range ms {
+		out = append(out, proto.CloneOf(m))
+	}
+	return out
+}
+
+func notLeader(err error) bool {
+	return errors.Is(err, &Error{Kind: KindNotLeader})
+}
--- /dev/null
+++ b/endpt/announce.go
@@ -0,0 +1,97 @@
+package endpt
+
+import (
+	"crypto/subtle"
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/kataras/iris/v12"
+
+	"buckthornpin"
+)
+
+const (
+	// maxAnnounceBytes bounds an announcement.
+	maxAnnounceBytes = 64 << 10
+	// maxCapacity bounds the capacity that an endpoint may claim.
+	maxCapacity = 1 << 16
+)
+
+// Directory takes what endpoints say of themselves.
+type Directory interface {
+	Put(e buckthornpin.Endpoint)
+	// AnnounceAddresses returns the routers that take announcements.
+	AnnounceAddresses() []string
+}
+
+// Announcements serves the endpoints' announcements. Its exported fields are
+// set before Handler.
+type Announcements struct {
+	Directory Directory
+	Events    buckthornpin.Recorder
+	// Secret returns the secret that endpoints have to show; empty asks for
+	// none.
+	Secret func() string
+	// Refused counts the calls without the right secret.
+	Refused interface{ Add(delta int64) }
+}
+
+// Handler returns the HTTP handler.
+func (a *Announcements) Handler() (http.Handler, error) {
+	app := iris.New()
+	app.Configure(iris.WithoutStartupLog, iris.WithoutBanner)
+	app.Post(AnnouncePath, iris.LimitRequestBodySize(maxAnnounceBytes), a.take)
+	return app, buckthornpin.WrapIf(app.Build(), "build announce handler")
+}
+
+func (a *Announcements) take(ctx iris.Context) {
+	secret := a.Secret()
+	if subtle.ConstantTimeCompare([]byte(ctx.GetHeader(SecretHeader)), []byte(secret)) != 1 {
+		a.Refused.Add(1)
+		a.Events.Record(buckthornpin.Event{Kind: buckthornpin.EventUnauthorised, Detail: "announcement from " + ctx.RemoteAddr()})
+		ctx.StatusCode(http.StatusUnauthorized)
+		return
+	}
+	var m Announcement
+	d := json.NewDecoder(ctx.Request().Body)
+	if err := d.Decode(&m); err != nil {
+		ctx.StopWithText(http.StatusBadRequest, "announcement: %v", err)
+		return
+	}
+	if err := m.check(); err != nil {
+		ctx.StopWithText(http.StatusBadRequest, "announcement: %v", err)
+		return
+	}
+	a.Directory.Put(m.endpoint(time.Now()))
+	_ = ctx.JSON(AnnounceReply{Routers: a.Directory.AnnounceAddresses()})
+}
+
+func (m Announcement) check() error {
+	if m.Endpoint == "" || len(m.Endpoint) > 200 {
+		return errors.New("endpoint: expected a name of 1 to 200 bytes")
+	}
+	if _, _, err := net.SplitHostPort(m.Address); err != nil {
+		return errors.Wrap(err, "address: expected IP:PORT")
+	}
+	if m.Capacity < 1 || m.Capacity > maxCapacity {
+		return errors.Errorf("capacity: %d: expected 1 to %d", m.Capacity, maxCapacity)
+	}
+	if len(m.Models)+len(m.Services) == 0 {
+		return errors.New("models, services: expected at least one name")
+	}
+	if m.Incarnation <= 0 || m.Sequence <= 0 {
+		return errors.New("incarnation, sequence: expected numbers above 0")
+	}
+	return nil
+}
+
+func (m Announcement) endpoint(now time.Time) buckthornpin.Endpoint {
+	return buckthornpin.Endpoint{
+		ID: m.Endpoint, Address: m.Address, Zone: m.Zone, Models: m.Models, Services: m.Services,
+		Capacity: m.Capacity, Incarnation: m.Incarnation, Sequence: m.Sequence,
+		Leaving: m.Leaving, Running: m.Running, SeenAt: now,
+	}
+}
--- /dev/null
+++ b/ledger/check.go
@@ -0,0 +1,40 @@
+package ledger
+
+import (
+	"github.com/go-faster/errors"
+)
+
+// Check verifies the invariant of each budget: what was paid covers what was
+// settled, held and leased, and the parts add up to their records.
+func (l *Ledger) Check() error {
+	held := map[string]int64{}
+	for k, r := range l.reservations {
+		if r.state.GetPhase() == phaseHeld {
+			held[k.Organisation] += r.state.GetBound()
+		}
+	}
+	leased := map[string]int64{}
+	for k, s := range l.leases {
+		leased[k.organisation] += s.GetTokens()
+	}
+	for id, o := range l.organisations {
+		if err := o.check(held[id], leased[id]); err != nil {
+			return &Error{Op: "check " + id, Kind: KindInvariant, Err: err}
+		}
+	}
+	return nil
+}
+
+func (o *organisation) check(held, leased int64) error {
+	s := o.state
+	if s.GetHeld() != held {
+		return errors.Errorf("held %d tokens, reservations hold %d", s.GetHeld(), held)
+	}
+	if s.GetLeased() != leased {
+		return errors.Errorf("leased %d tokens, leases hold %d", s.GetLeased(), leased)
+	}
+	if s.GetSettled() < 0 || o.free() < 0 {
+		return errors.Errorf("paid %d < settled %d + held %d + leased %d", s.GetPaid(), s.GetSettled(), held, leased)
+	}
+	return nil
+}
--- /dev/null
+++ b/ledger/lease.go
@@ -0,0 +1,141 @@
+package ledger
+
+import (
+	"buckthornpin"
+	"buckthornpin/wire"
+)
+
+// leaseKey names the lease of one router process on one budget.
+type leaseKey struct {
+	organisation string
+	router       string
+	incarnation  int64
+}
+
+// registerRouter gives a router process its incarnation.
+func (l *Ledger) registerRouter(c *wire.RegisterRouter) *wire.Result {
+	if !validName(c.GetRouter()) {
+		return failed(wire.ResultKind_RESULT_KIND_INVALID, "router needs a name")
+	}
+	known := l.routers[c.GetRouter()]
+	incarnation := known.GetIncarnation() + 1
+	l.routers[c.GetRouter()] = &wire.RouterState{
+		Router:       c.GetRouter(),
+		Incarnation:  incarnation,
+		OperAddress:  c.GetOperAddress(),
+		PeerAddress:  c.GetPeerAddress(),
+		EndptAddress: c.GetEndptAddress(),
+		Zone:         c.GetZone(),
+		Revision:     l.nextRevision(),
+	}
+	l.orphan(c.GetRouter(), incarnation)
+	return &wire.Result{Kind: wire.ResultKind_RESULT_KIND_OK, Version: incarnation}
+}
+
+// orphan shortens the time of the reservations that earlier processes of the
+// router left open.
+func (l *Ledger) orphan(router string, incarnation int64) {
+	endMS := l.nowMS + OrphanGrace.Milliseconds()
+	for k := range l.byRouter[router] {
+		s := l.reservations[k].state
+		if s.GetIncarnation() < incarnation && s.GetEndMs() > endMS {
+			l.endLater(k, endMS)
+		}
+	}
+}
+
+func (l *Ledger) grantLease(c *wire.GrantLease) *wire.Result {
+	o, ok := l.organisations[c.GetOrganisation()]
+	if !ok {
+		return unknownOrganisation(c.GetOrganisation())
+	}
+	if l.routers[c.GetRouter()].GetIncarnation() != c.GetIncarnation() {
+		return failed(wire.ResultKind_RESULT_KIND_STALE_ROUTER, "router isn't registered under this incarnation")
+	}
+	share := o.free() / 100 * int64(min(max(c.GetMaxPercent(), 0), 100))
+	tokens := min(c.GetTokens(), share)
+	if tokens <= 0 {
+		return l.insufficient(o, false)
+	}
+	k := leaseKey{organisation: c.GetOrganisation(), router: c.GetRouter(), incarnation: c.GetIncarnation()}
+	s, ok := l.leases[k]
+	if !ok {
+		s = &wire.LeaseState{Organisation: k.organisation, Router: k.router, Incarnation: k.incarnation}
+		l.leases[k] = s
+	}
+	s.Tokens += tokens
+	o.state.Leased += tokens
+	return &wire.Result{Kind: wire.ResultKind_RESULT_KIND_OK, Tokens: tokens, Free: o.free()}
+}
+
+// settleLease bills a request that ran on a lease. A key that was billed before
+// costs nothing more: its tokens go back to the budget.
+func (l *Ledger) settleLease(c *wire.SettleLease) *wire.Result {
+	s, ok := l.leases[leaseKey{organisation: c.GetOrganisation(), router: c.GetRouter(), incarnation: c.GetIncarnation()}]
+	if !ok {
+		return failed(wire.ResultKind_RESULT_KIND_NOT_FOUND, "no such lease")
+	}
+	k := buckthornpin.RequestKey{Organisation: c.GetOrganisation(), Key: c.GetKey()}
+	if r, ok := l.reservations[k]; ok && r.state.GetPhase() == phaseSettled && r.state.GetChange() == leaseChange(c) {
+		return &wire.Result{Kind: wire.ResultKind_RESULT_KIND_OK, Tokens: r.state.GetTokens()}
+	}
+	if c.GetTokens() < 0 || c.GetTokens() > s.GetTokens() {
+		return failed(wire.ResultKind_RESULT_KIND_INVALID, "tokens are beyond the lease")
+	}
+	o := l.organisations[c.GetOrganisation()]
+	s.Tokens -= c.GetTokens()
+	o.state.Leased -= c.GetTokens()
+	r, known := l.reservations[k]
+	if known && r.state.GetPhase() == phaseSettled {
+		return &wire.Result{Kind: wire.ResultKind_RESULT_KIND_ALREADY_RAN, Tokens: r.state.GetTokens()}
+	}
+	if known && r.state.GetPhase() == phaseHeld {
+		l.release(o, k, r)
+	}
+	if known && r.state.GetPhase() == phaseReleased {
+		o.state.Settled -= r.state.GetTokens()
+	}
+	o.state.Settled += c.GetTokens()
+	l.add(k, &reservation{state: &wire.ReservationState{
+		Organisation: k.Organisation, Key: k.Key, Bound: c.GetTokens(), Router: c.GetRouter(), Incarnation: c.GetIncarnation(),
+		Dispatch: r.dispatch() + 1, Phase: phaseSettled, Tokens: c.GetTokens(), MayHaveRun: true, Change: leaseChange(c), Digest: r.digest(),
+	}})
+	l.endLater(k, l.nowMS+KeyRetention.Milliseconds())
+	return &wire.Result{Kind: wire.ResultKind_RESULT_KIND_OK, Tokens: c.GetTokens(), Free: o.free()}
+}
+
+func (l *Ledger) closeLease(c *wire.CloseLease) *wire.Result {
+	k := leaseKey{organisation: c.GetOrganisation(), router: c.GetRouter(), incarnation: c.GetIncarnation()}
+	s, ok := l.leases[k]
+	if !ok {
+		return failed(wire.ResultKind_RESULT_KIND_NOT_FOUND, "no such lease")
+	}
+	if c.GetTokens() < 0 || c.GetTokens() > s.GetTokens() {
+		return failed(wire.ResultKind_RESULT_KIND_INVALID, "tokens are beyond the lease")
+	}
+	o := l.organisations[c.GetOrganisation()]
+	s.Tokens -= c.GetTokens()
+	o.state.Leased -= c.GetTokens()
+	if s.GetTokens() == 0 {
+		delete(l.leases, k)
+	}
+	return &wire.Result{Kind: wire.ResultKind_RESULT_KIND_OK, Tokens: c.GetTokens(), Free: o.free()}
+}
+
+func (r *reservation) dispatch() int32 {
+	if r == nil {
+		return 0
+	}
+	return r.state.GetDispatch()
+}
+
+func (r *reservation) digest() string {
+	if r == nil {
+		return ""
+	}
+	return r.state.GetDigest()
+}
+
+func leaseChange(c *wire.SettleLease) string {
+	return "lease:" + c.GetRouter() + ":" + c.GetKey()
+}
--- /dev/null
+++ b/oper/server.go
@@ -0,0 +1,218 @@
+// Package oper serves operators over HTTP, and holds the client that the
+// command line uses. Its handlers only translate; the control group decides.
+package oper
+
+import (
+	"context"
+	"expvar"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/kataras/iris/v12"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"buckthornpin"
+	"buckthornpin/event"
+	"buckthornpin/wire"
+)
+
+// Paths of the operators' interface.
+const (
+	ChangesPath  = "/admin/v1/changes"
+	SystemPath   = "/admin/v1/system"
+	MembersPath  = "/admin/v1/members"
+	StatusPath   = "/admin/v1/status"
+	TimelinePath = "/admin/v1/timeline"
+)
+
+const (
+	// maxChangeBytes bounds a change.
+	maxChangeBytes = 1 << 20
+	// controlTimeout bounds how long an operator's call waits for control.
+	controlTimeout = 10 * time.Second
+)
+
+// Control is the control group as operators see it.
+type Control interface {
+	Execute(ctx context.Context, commands []*wire.Command) ([]*wire.Result, error)
+	Inspect(ctx context.Context, history bool) (*wire.InspectReply, error)
+	ChangeMembers(ctx context.Context, r *wire.ChangeMembersRequest) (*wire.ChangeMembersReply, error)
+}
+
+// Status is what a process says of itself.
+type Status struct {
+	VM        string           `json:"vm"`
+	Zone      string           `json:"zone"`
+	Roles     []string         `json:"roles"`
+	Build     string           `json:"build"`
+	Ready     bool             `json:"ready"`
+	Draining  bool             `json:"draining"`
+	Version   int64            `json:"version"`
+	Requests  int64            `json:"requests_in_progress"`
+	Endpoints []EndpointStatus `json:"endpoints,omitempty"`
+	Replica   *ReplicaStatus   `json:"replica,omitempty"`
+}
+
+// EndpointStatus is an endpoint as one router sees it.
+type EndpointStatus struct {
+	Endpoint string   `json:"endpoint"`
+	Zone     string   `json:"zone"`
+	Models   []string `json:"models,omitempty"`
+	Services []string `json:"services,omitempty"`
+	Running  int      `json:"running"`
+	Capacity int      `json:"capacity"`
+	Leaving  bool     `json:"leaving"`
+	AgeMS    int64    `json:"age_ms"`
+}
+
+// ReplicaStatus is a control replica's view of its group.
+type ReplicaStatus struct {
+	ID      string `json:"id"`
+	Role    string `json:"role"`
+	Leader  string `json:"leader"`
+	Term    uint64 `json:"term"`
+	Commit  uint64 `json:"commit"`
+	Applied uint64 `json:"applied"`
+}
+
+// Server serves operators. Its exported fields are set before Handler.
+type Server struct {
+	Control Control
+	Line    *event.Line
+	Status  func() Status
+	// Operator reports whether a hash is that of an operator's key.
+	Operator func(hash string) bool
+	// Hash returns the hash of a key.
+	Hash func(key string) string
+
+	unauthorised expvar.Int
+}
+
+// Handler returns the HTTP handler.
+func (s *Server) Handler() (http.Handler, error) {
+	app := iris.New()
+	app.Configure(iris.WithoutStartupLog, iris.WithoutBanner)
+	app.Use(s.authorise)
+	app.Post(ChangesPath, iris.LimitRequestBodySize(maxChangeBytes), s.change)
+	app.Get(SystemPath, s.system)
+	app.Post(MembersPath, iris.LimitRequestBodySize(maxChangeBytes), s.members)
+	app.Get(StatusPath, func(ctx iris.Context) { _ = ctx.JSON(s.Status()) })
+	app.Get(TimelinePath, s.timeline)
+	return app, buckthornpin.WrapIf(app.Build(), "build operator handler")
+}
+
+// Unauthorised counts the calls without a valid key.
+func (s *Server) Unauthorised() *expvar.Int { return &s.unauthorised }
+
+func (s *Server) authorise(ctx iris.Context) {
+	key, ok := strings.CutPrefix(ctx.GetHeader("Authorization"), "Bearer ")
+	if ok && s.Operator(s.Hash(key)) {
+		ctx.Next()
+		return
+	}
+	s.unauthorised.Add(1)
+	s.Line.Record(buckthornpin.Event{Kind: buckthornpin.EventUnauthorised, Detail: "operator call from " + ctx.RemoteAddr()})
+	s.problem(ctx, http.StatusUnauthorized, "expected Authorization: Bearer KEY with an operator's key")
+}
+
+// problem is an error as operators get it.
+type problem struct {
+	Error string `json:"error"`
+}
+
+func (s *Server) problem(ctx iris.Context, status int, text string) {
+	ctx.StopExecution()
+	ctx.StatusCode(status)
+	_ = ctx.JSON(problem{Error: text})
+}
+
+// change commits a change. Its id makes a resent change a repeat.
+func (s *Server) change(ctx iris.Context) {
+	c := &wire.Command{}
+	if !s.decode(ctx, c) {
+		return
+	}
+	if err := CheckChange(c); err != nil {
+		s.problem(ctx, http.StatusBadRequest, err.Error())
+		return
+	}
+	wait, cancel := context.WithTimeout(ctx.Request().Context(), controlTimeout)
+	defer cancel()
+	results, err := s.Control.Execute(wait, []*wire.Command{c})
+	if err != nil {
+		s.problem(ctx, http.StatusServiceUnavailable, "the change may or may not have been accepted; send it again under the same id: "+err.Error())
+		return
+	}
+	ctx.StatusCode(statusOf(results[0].GetKind()))
+	s.reply(ctx, results[0])
+}
+
+func statusOf(k wire.ResultKind) int {
+	switch k {
+	case wire.ResultKind_RESULT_KIND_OK:
+		return http.StatusOK
+	case wire.ResultKind_RESULT_KIND_NOT_FOUND:
+		return http.StatusNotFound
+	case wire.ResultKind_RESULT_KIND_CONFLICT:
+		return http.StatusConflict
+	}
+	return http.StatusBadRequest
+}
+
+func (s *Server) system(ctx iris.Context) {
+	wait, cancel := context.WithTimeout(ctx.Request().Context(), controlTimeout)
+	defer cancel()
+	reply, err := s.Control.Inspect(wait, ctx.URLParam("history") == "true")
+	if err != nil {
+		s.problem(ctx, http.StatusServiceUnavailable, err.Error())
+		return
+	}
+	s.reply(ctx, reply)
+}
+
+func (s *Server) members(ctx iris.Context) {
+	r := &wire.ChangeMembersRequest{}
+	if !s.decode(ctx, r) {
+		return
+	}
+	wait, cancel := context.WithTimeout(ctx.Request().Context(), controlTimeout)
+	defer cancel()
+	reply, err := s.Control.ChangeMembers(wait, r)
+	if err != nil {
+		s.problem(ctx, http.StatusServiceUnavailable, err.Error())
+		return
+	}
+	if reply.GetProblem() != "" {
+		s.problem(ctx, http.StatusConflict, reply.GetProblem())
+		return
+	}
+	s.reply(ctx, reply)
+}
+
+func (s *Server) timeline(ctx iris.Context) {
+	f := event.Filter{Request: ctx.URLParam("request"), Organisation: ctx.URLParam("organisation"), VM: ctx.URLParam("vm")}
+	_ = ctx.JSON(s.Line.Events(f))
+}
+
+func (s *Server) decode(ctx iris.Context, m proto.Message) bool {
+	body, err := ctx.GetBody()
+	if err == nil {
+		err = protojson.Unmarshal(body, m)
+	}
+	if err != nil {
+		s.problem(ctx, http.StatusBadRequest, err.Error())
+	}
+	return err == nil
+}
+
+func (s *Server) reply(ctx iris.Context, m proto.Message) {
+	data, err := protojson.MarshalOptions{UseProtoNames: true}.Marshal(m)
+	if err != nil {
+		s.problem(ctx, http.StatusInternalServerError, err.Error())
+		return
+	}
+	ctx.ContentType("application/json")
+	_, _ = ctx.Write(data)
+}
--- /dev/null
+++ b/policy.go
@@ -0,0 +1,97 @@
+package buckthornpin
+
+import (
+	"bytes"
+	"encoding/json"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// Policy is the replicated configuration: what operators change while the
+// system runs. It is immutable once decoded.
+type Policy struct {
+	// DefaultMaxTokens is the output cap of a request that names none.
+	DefaultMaxTokens int `json:"default_max_tokens"`
+	// MaxTokens is the largest output cap that a request may name.
+	MaxTokens int `json:"max_tokens"`
+	// MaxDeadlineMS bounds the deadline of a request, in milliseconds.
+	MaxDeadlineMS int64 `json:"max_deadline_ms"`
+	// Services are the rules of the plain services.
+	Services []ServiceRule `json:"services"`
+	// DeniedEndpoints take no new work.
+	DeniedEndpoints []string `json:"denied_endpoints"`
+}
+
+// ServiceRule is the rule of one plain service.
+type ServiceRule struct {
+	Name string `json:"name"`
+	// Cost is the price of one call, in tokens.
+	Cost Tokens `json:"cost"`
+	// NonIdempotent calls run at most once, whatever the caller says.
+	NonIdempotent bool `json:"non_idempotent"`
+}
+
+// DefaultServiceCost is the price of a call to a service without a rule.
+const DefaultServiceCost Tokens = 1
+
+// DefaultPolicy is in force until the first configuration is accepted.
+func DefaultPolicy() Policy {
+	return Policy{
+		DefaultMaxTokens: 1024,
+		MaxTokens:        16384,
+		MaxDeadlineMS:    (10 * time.Minute).Milliseconds(),
+	}
+}
+
+// DecodePolicy decodes and checks the content of a configuration. Fields that
+// it doesn't name keep their defaults.
+func DecodePolicy(content string) (Policy, error) {
+	p := DefaultPolicy()
+	d := json.NewDecoder(bytes.NewReader([]byte(content)))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&p); err != nil {
+		return p, errors.Wrap(err, "configuration")
+	}
+	return p, p.check()
+}
+
+func (p Policy) check() error {
+	var problems []error
+	if p.MaxTokens < 1 || p.MaxTokens > 1<<20 {
+		problems = append(problems, errors.Errorf("max_tokens: %d: expected 1 to %d", p.MaxTokens, 1<<20))
+	}
+	if p.DefaultMaxTokens < 1 || p.DefaultMaxTokens > p.MaxTokens {
+		problems = append(problems, errors.Errorf("default_max_tokens: %d: expected 1 to max_tokens", p.DefaultMaxTokens))
+	}
+	if p.MaxDeadlineMS < 100 || p.MaxDeadlineMS > (10*time.Minute).Milliseconds() {
+		problems = append(problems, errors.Errorf("max_deadline_ms: %d: expected 100 to 600000", p.MaxDeadlineMS))
+	}
+	seen := map[string]bool{}
+	for _, s := range p.Services {
+		if s.Name == "" || s.Cost < 1 || seen[s.Name] {
+			problems = append(problems, errors.Errorf("services: %q with cost %d: expected a name that stands once and a cost of at least 1", s.Name, s.Cost))
+		}
+		seen[s.Name] = true
+	}
+	return errors.Join(problems...)
+}
+
+// Service returns the rule of a plain service.
+func (p Policy) Service(name string) ServiceRule {
+	for _, s := range p.Services {
+		if s.Name == name {
+			return s
+		}
+	}
+	return ServiceRule{Name: name, Cost: DefaultServiceCost}
+}
+
+// OutputCap returns the output cap for a request that asks for n tokens; 0 asks
+// for none.
+func (p Policy) OutputCap(n int) int {
+	if n <= 0 {
+		return p.DefaultMaxTokens
+	}
+	return min(n, p.MaxTokens)
+}
--- /dev/null
+++ b/router/router.go
@@ -0,0 +1,177 @@
+// Package router carries requests from callers to endpoints: it reserves their
+// cost, chooses endpoints, repairs broken answers and bills whole ones.
+package router
+
+import (
+	"context"
+	"expvar"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+
+	"buckthornpin"
+	"buckthornpin/endpt"
+	"buckthornpin/stream"
+	"buckthornpin/wire"
+)
+
+// Control is the control group as a router sees it.
+type Control interface {
+	Execute(ctx context.Context, c *wire.Command) (*wire.Result, error)
+}
+
+// Endpoints runs attempts on endpoints.
+type Endpoints interface {
+	Chat(ctx context.Context, a endpt.Attempt) (*endpt.Stream, error)
+	Call(ctx context.Context, a endpt.Attempt) (*endpt.Answer, error)
+	Cancel(ctx context.Context, e buckthornpin.Endpoint, id string) error
+}
+
+// Holders asks other routers about keys in progress.
+type Holders interface {
+	// AskHolds reports whether the router works on the key; an error says that it
+	// can't be reached.
+	AskHolds(ctx context.Context, router string, k buckthornpin.RequestKey) (bool, error)
+}
+
+// Router serves requests. Its exported fields are set before Open.
+type Router struct {
+	VM        string
+	Zone      string
+	Control   Control
+	Endpoints Endpoints
+	Directory Directory
+	Holders   Holders
+	Events    buckthornpin.Recorder
+	Log       zerolog.Logger
+	// Incarnation returns the number under which control has registered this
+	// process; 0 before.
+	Incarnation func() int64
+	// Policy returns the configuration in force.
+	Policy func() buckthornpin.Policy
+	// DeadAfter is the age of an announcement beyond which an endpoint gets no
+	// work.
+	DeadAfter time.Duration
+	// MaxQueue bounds the requests that wait for an endpoint.
+	MaxQueue int
+	// MaxAttempts bounds the endpoints that one request is tried on.
+	MaxAttempts int
+	// ReserveTimeout bounds how long a reservation may take.
+	ReserveTimeout time.Duration
+	// SettleTimeout bounds how long billing a whole answer may take.
+	SettleTimeout time.Duration
+	// ReconnectGrace is how long an answer under a caller's own key goes on
+	// without a reader.
+	ReconnectGrace time.Duration
+	// KeptBytes bounds the answers that are kept for callers that come again.
+	KeptBytes int
+	// ChargeOrphans bills the bound of a request whose router never settles it.
+	ChargeOrphans bool
+
+	ctx     context.Context
+	slots   *slots
+	mu      sync.Mutex
+	flights map[buckthornpin.RequestKey]*flight
+	kept    *stream.Store
+	running sync.WaitGroup
+	open    atomic.Int64
+	metrics routerMetrics
+}
+
+// routerMetrics counts what happened since the start.
+type routerMetrics struct {
+	requests, answered, refused, resumed, retried expvar.Int
+	tokens                                        expvar.Int
+	refusals                                      expvar.Map
+}
+
+// Open prepares the router. Requests end with ctx.
+func (r *Router) Open(ctx context.Context) {
+	r.ctx = ctx
+	r.flights = map[buckthornpin.RequestKey]*flight{}
+	r.kept = &stream.Store{MaxBytes: r.KeptBytes}
+	r.metrics.refusals.Init()
+	r.slots = &slots{
+		directory: r.Directory, zone: r.Zone, deadAfter: r.DeadAfter, maxQueue: r.MaxQueue,
+		denied: func() []string { return r.Policy().DeniedEndpoints },
+		now:    time.Now, loads: map[string]*load{}, seed: rand.Uint64(),
+	}
+}
+
+// Wait waits until no request is in progress.
+func (r *Router) Wait() { r.running.Wait() }
+
+// Holds reports whether the router works on the key.
+func (r *Router) Holds(k buckthornpin.RequestKey) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.flights[k] != nil
+}
+
+// InProgress counts the requests in progress.
+func (r *Router) InProgress() int64 { return r.open.Load() }
+
+// Metrics returns the router's counters.
+func (r *Router) Metrics() *expvar.Map {
+	m := new(expvar.Map)
+	m.Set("requests", &r.metrics.requests)
+	m.Set("answered", &r.metrics.answered)
+	m.Set("refused", &r.metrics.refused)
+	m.Set("resumed", &r.metrics.resumed)
+	m.Set("retried", &r.metrics.retried)
+	m.Set("tokens", &r.metrics.tokens)
+	m.Set("refusals", &r.metrics.refusals)
+	m.Set("in_progress", expvar.Func(func() any { return r.open.Load() }))
+	m.Set("on_endpoints", expvar.Func(func() any { return r.slots.inFlight() }))
+	return m
+}
+
+// Start begins a request, or joins the one in progress under the same key, and
+// returns a reader of its answer that starts after offset output tokens.
+func (r *Router) Start(req buckthornpin.Request, offset int) (*stream.Reader, *buckthornpin.Refusal) {
+	r.metrics.requests.Add(1)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if f := r.flights[req.Key]; f != nil {
+		return r.join(f.request.Digest, f.answer, req, offset)
+	}
+	if a, digest := r.kept.Lookup(req.Key); a != nil {
+		return r.join(digest, a, req, offset)
+	}
+	f := &flight{router: r, request: req, answer: &stream.Answer{Keep: !req.Fresh}, id: uuid.NewString()}
+	reader := f.answer.Read(offset)
+	r.flights[req.Key] = f
+	r.open.Add(1)
+	r.running.Go(f.run)
+	return reader, nil
+}
+
+func (r *Router) join(digest string, a *stream.Answer, req buckthornpin.Request, offset int) (*stream.Reader, *buckthornpin.Refusal) {
+	if digest != req.Digest {
+		return nil, Refuse(http.StatusConflict, CodeKeyReused, "the key was used for another request", false, 0)
+	}
+	return a.Read(offset), nil
+}
+
+// finished takes a flight out; a whole answer under a caller's key is kept for
+// the caller to come again.
+func (r *Router) finished(f *flight, whole bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.flights, f.request.Key)
+	if whole && !f.request.Fresh {
+		r.kept.Keep(f.request.Key, f.request.Digest, f.answer)
+	}
+	r.open.Add(-1)
+}
+
+func (r *Router) record(k buckthornpin.EventKind, req buckthornpin.Request, endpoint, detail string) {
+	r.Events.Record(buckthornpin.Event{
+		Kind: k, Organisation: req.Key.Organisation, Request: req.Key.Key, Endpoint: endpoint, Detail: detail,
+	})
+}
--- /dev/null
+++ b/stand/endpoint.go
@@ -0,0 +1,283 @@
+package stand
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"buckthornpin/conn"
+	"buckthornpin/endpt"
+)
+
+const (
+	// DefaultPace is the time between two tokens.
+	DefaultPace = 2 * time.Millisecond
+	// heartbeat is the time between two announcements.
+	heartbeat = 500 * time.Millisecond
+	// announceTo is how many routers hear each announcement.
+	announceTo = 2
+	// drainTimeout bounds how long requests in progress may take at a stop.
+	drainTimeout = time.Minute
+	// maxBodyBytes bounds a request's body.
+	maxBodyBytes = 16 << 20
+)
+
+// Endpoint is a stand-in endpoint. Its exported fields are set before Run.
+type Endpoint struct {
+	ID       string
+	Zone     string
+	Models   []string
+	Services []string
+	Capacity int
+	// Pace is the time between two tokens; DefaultPace if 0.
+	Pace time.Duration
+	// Routers are the first addresses to announce to.
+	Routers []string
+	Secret  string
+	// Listener is the open listener; Run closes it.
+	Listener net.Listener
+	// Crash is called by a request that asks for it.
+	Crash func()
+
+	incarnation int64
+	sequence    atomic.Int64
+	running     atomic.Int64
+	leaving     atomic.Bool
+	generated   atomic.Int64
+	mu          sync.Mutex
+	routers     []string
+	cancels     map[string]context.CancelFunc
+	runs        map[string]int
+}
+
+// Run serves and announces until ctx ends. It then tells the routers that it is
+// leaving and finishes what is in progress.
+func (e *Endpoint) Run(ctx context.Context) error {
+	e.Open()
+	serveCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	served := make(chan error, 1)
+	s := &conn.Server{Listener: e.Listener, Handler: e, DrainTimeout: drainTimeout}
+	go func() { served <- s.Run(serveCtx) }()
+	e.announceAll(ctx)
+	e.leaving.Store(true)
+	e.announce(serveCtx, e.targets(len(e.routers)))
+	stop()
+	return <-served
+}
+
+// Open prepares the stand-in. Run calls it.
+func (e *Endpoint) Open() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.incarnation = time.Now().UnixNano()
+	e.routers = append([]string(nil), e.Routers...)
+	e.cancels = map[string]context.CancelFunc{}
+	e.runs = map[string]int{}
+	if e.Pace == 0 {
+		e.Pace = DefaultPace
+	}
+}
+
+// Leave announces that the endpoint takes no new work, and refuses it.
+func (e *Endpoint) Leave() { e.leaving.Store(true) }
+
+// Generated counts the output tokens that were generated.
+func (e *Endpoint) Generated() int64 { return e.generated.Load() }
+
+// Runs counts the runs of a plain service's request by its name towards the
+// endpoint.
+func (e *Endpoint) Runs() map[string]int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := map[string]int{}
+	for k, n := range e.runs {
+		out[k] = n
+	}
+	return out
+}
+
+// ServeHTTP implements http.Handler.
+func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case e.Secret != "" && r.Header.Get(endpt.SecretHeader) != e.Secret:
+		w.WriteHeader(http.StatusUnauthorized)
+	case r.Method == http.MethodDelete:
+		e.cancel(w, r)
+	case e.leaving.Load():
+		notRun(w, endpt.LeavingHeader)
+	case e.running.Add(1) > int64(e.Capacity):
+		e.running.Add(-1)
+		notRun(w, "")
+	default:
+		defer e.running.Add(-1)
+		e.run(w, r)
+	}
+}
+
+func notRun(w http.ResponseWriter, header string) {
+	w.Header().Set(endpt.NotRunHeader, "true")
+	if header != "" {
+		w.Header().Set(header, "true")
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func (e *Endpoint) run(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if r.URL.Path == endpt.ChatPath {
+		e.chat(w, r, body)
+		return
+	}
+	e.service(w, r, body)
+}
+
+// serviceAnswer is what the plain service answers.
+type serviceAnswer struct {
+	Service string `json:"service"`
+	Request string `json:"request"`
+	Bytes   int    `json:"bytes"`
+	Run     int    `json:"run"`
+}
+
+func (e *Endpoint) service(w http.ResponseWriter, r *http.Request, body []byte) {
+	id := r.Header.Get(endpt.RequestHeader)
+	e.mu.Lock()
+	e.runs[string(body)]++
+	n := e.runs[string(body)]
+	e.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(serviceAnswer{Service: r.URL.Path, Request: id, Bytes: len(body), Run: n})
+}
+
+func (e *Endpoint) cancel(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if cancel := e.cancels[r.URL.Path[len(endpt.CancelPath):]]; cancel != nil {
+		cancel()
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Endpoint) chat(w http.ResponseWriter, r *http.Request, body []byte) {
+	p, err := DecodePrompt(body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	f, err := p.Faults()
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	a := newAnswer(e, w, r, p, f)
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	e.mu.Lock()
+	e.cancels[a.id] = cancel
+	e.mu.Unlock()
+	defer func() {
+		e.mu.Lock()
+		delete(e.cancels, a.id)
+		e.mu.Unlock()
+	}()
+	a.run(ctx)
+}
+
+// answer is one attempt's answer on its way.
+type answer struct {
+	endpoint *Endpoint
+	w        http.ResponseWriter
+	flush    http.Flusher
+	prompt   Prompt
+	faults   Faults
+	id       string
+	attempt  string
+	from     int
+	pace     time.Duration
+}
+
+func newAnswer(e *Endpoint, w http.ResponseWriter, r *http.Request, p Prompt, f Faults) *answer {
+	from, _ := strconv.Atoi(r.Header.Get(endpt.OffsetHeader))
+	a := &answer{endpoint: e, w: w, prompt: p, faults: f, id: r.Header.Get(endpt.RequestHeader), attempt: r.Header.Get(endpt.AttemptHeader), from: from, pace: e.Pace}
+	a.flush, _ = w.(http.Flusher)
+	if f.Pace > 0 {
+		a.pace = f.Pace
+	}
+	if a.attempt == "" {
+		a.attempt = "1"
+	}
+	return a
+}
+
+func (a *answer) run(ctx context.Context) {
+	a.w.Header().Set("Content-Type", "text/event-stream")
+	n := a.prompt.Tokens(a.faults)
+	ticker := time.NewTicker(a.pace)
+	defer ticker.Stop()
+	for i := a.from; i < n; i++ {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		if !a.fault(ctx, i) {
+			return
+		}
+		a.token(a.id, i)
+	}
+	a.last(n)
+}
+
+// fault brings about the faults at token i; it reports whether to go on.
+func (a *answer) fault(ctx context.Context, i int) bool {
+	f := a.faults
+	if i == f.CrashAt {
+		a.endpoint.Crash()
+		panic(http.ErrAbortHandler)
+	}
+	if a.attempt != "1" {
+		return true
+	}
+	switch i {
+	case f.BreakAt:
+		panic(http.ErrAbortHandler)
+	case f.SilentAt:
+		<-ctx.Done()
+		return false
+	case f.ShortAt:
+		return false
+	case f.AlienAt:
+		a.token("another-request", i)
+	case f.RepeatAt:
+		a.token(a.id, i)
+	}
+	return true
+}
+
+func (a *answer) token(id string, i int) {
+	a.endpoint.generated.Add(1)
+	word, _ := json.Marshal(a.prompt.Word(i))
+	_, _ = fmt.Fprintf(a.w, "id: %s-%d-%d\ndata: {\"id\":%q,\"object\":\"chat.completion.chunk\",\"created\":0,\"model\":%q,\"choices\":[{\"index\":0,\"delta\":{\"content\":%s},\"finish_reason\":null}]}\n\n",
+		a.attempt, i, i+1, id, a.prompt.Model, word)
+	if a.flush != nil {
+		a.flush.Flush()
+	}
+}
+
+func (a *answer) last(n int) {
+	usage, _ := json.Marshal(a.prompt.Usage())
+	_, _ = fmt.Fprintf(a.w, "id: %s-%d-%d\ndata: {\"id\":%q,\"object\":\"chat.completion.chunk\",\"created\":0,\"model\":%q,\"choices\":[{\"index\":0,\"delta\":{},\"finish_reason\":\"stop\"}],\"usage\":%s}\n\ndata: [DONE]\n\n",
+		a.attempt, n, n, a.id, a.prompt.Model, usage)
+}
