Test the replicated log under seeded faults

Loss, repeats, reordering, one-way cuts, crashes between disk and network, compaction: what one replica commits no other contradicts, a term has one leader, reads see what was committed before them, a healed group agrees.

--- /dev/null
+++ b/quorum/group_test.go
@@ -0,0 +1,300 @@
+package quorum
+
+import (
+	"fmt"
+	"math/rand"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"buckthornpin/wire"
+)
+
+// disk is what a replica's files hold.
+type disk struct {
+	hard     *wire.HardState
+	snapshot *wire.Snapshot
+	entries  []*wire.Entry
+}
+
+func (d *disk) save(r Ready) {
+	if r.HardState != nil {
+		d.hard = r.HardState
+	}
+	if r.Snapshot != nil {
+		d.snapshot = r.Snapshot
+		d.entries = nil
+	}
+	for _, e := range r.Entries {
+		for len(d.entries) > 0 && d.entries[len(d.entries)-1].GetIndex() >= e.GetIndex() {
+			d.entries = d.entries[:len(d.entries)-1]
+		}
+		d.entries = append(d.entries, e)
+	}
+}
+
+// replica is a node with its disk and the state it has applied.
+type replica struct {
+	node    *Node
+	disk    disk
+	down    bool
+	applied []string
+}
+
+// group drives replicas over a network that loses, repeats, delays and cuts.
+type group struct {
+	t        *testing.T
+	rng      *rand.Rand
+	replicas map[string]*replica
+	network  []*wire.Message
+	cut      map[[2]string]bool
+	// committed is what some replica has applied, by position.
+	committed []string
+	leaders   map[uint64]string
+	proposed  int
+	reads     map[uint64]int
+	token     uint64
+}
+
+func newGroup(t *testing.T, seed int64, size int) *group {
+	g := &group{
+		t: t, rng: rand.New(rand.NewSource(seed)), replicas: map[string]*replica{},
+		cut: map[[2]string]bool{}, leaders: map[uint64]string{}, reads: map[uint64]int{},
+	}
+	members := &wire.Members{}
+	for i := range size {
+		members.Members = append(members.Members, &wire.Member{Id: fmt.Sprintf("r%d", i+1)})
+	}
+	for _, m := range members.GetMembers() {
+		r := &replica{disk: disk{hard: &wire.HardState{Term: 1, Commit: 1}, snapshot: &wire.Snapshot{Index: 1, Term: 1, Members: members}}}
+		g.replicas[m.GetId()] = r
+		g.start(m.GetId())
+	}
+	return g
+}
+
+func (g *group) ids() []string {
+	ids := make([]string, 0, len(g.replicas))
+	for id := range g.replicas {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (g *group) start(id string) {
+	r := g.replicas[id]
+	r.down = false
+	r.node = &Node{ID: id, ElectionTicks: 10, HeartbeatTicks: 2, Rand: g.rng.Intn}
+	r.node.Restore(proto.CloneOf(r.disk.hard), r.disk.snapshot, slices.Clone(r.disk.entries))
+	r.applied = nil
+	if len(r.disk.snapshot.GetData()) > 0 {
+		r.applied = decodeApplied(r.disk.snapshot.GetData())
+	}
+}
+
+func decodeApplied(data []byte) []string {
+	b := &wire.ReplyState{}
+	if err := proto.Unmarshal(data, b); err != nil {
+		panic(err)
+	}
+	var out []string
+	for _, c := range b.GetResult().GetMessage() {
+		out = append(out, string(c))
+	}
+	return out
+}
+
+func encodeApplied(applied []string) []byte {
+	text := ""
+	for _, a := range applied {
+		text += a
+	}
+	data, err := proto.Marshal(&wire.ReplyState{Id: "state", Result: &wire.Result{Message: text}})
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// work does what a replica asks for, and checks what it commits. A crash may
+// come between the disk and the network.
+func (g *group) work(id string, crash bool) {
+	r := g.replicas[id]
+	for {
+		ready := r.node.Ready()
+		if ready.Empty() {
+			return
+		}
+		r.disk.save(ready)
+		if crash {
+			r.down = true
+			return
+		}
+		if ready.Snapshot != nil {
+			r.applied = decodeApplied(ready.Snapshot.GetData())
+		}
+		for _, m := range ready.Messages {
+			g.send(r, m)
+		}
+		for _, e := range ready.Committed {
+			g.apply(r, e)
+		}
+		g.finishReads(r, ready.Reads)
+		r.node.Advance(ready)
+		g.noteLeader(r)
+	}
+}
+
+func (g *group) send(r *replica, m *wire.Message) {
+	if m.GetKind() == wire.MessageKind_MESSAGE_KIND_SNAPSHOT {
+		m.Snapshot = r.disk.snapshot
+	}
+	if g.cut[[2]string{m.GetFrom(), m.GetTo()}] {
+		return
+	}
+	g.network = append(g.network, proto.CloneOf(m))
+}
+
+func (g *group) apply(r *replica, e *wire.Entry) {
+	if len(e.GetData()) == 0 {
+		return
+	}
+	r.applied = append(r.applied, string(e.GetData()))
+	n := len(r.applied)
+	if n <= len(g.committed) {
+		require.Equal(g.t, g.committed[n-1], r.applied[n-1], "position %d on %s", n, r.node.ID)
+		return
+	}
+	g.committed = append(g.committed, r.applied[n-1])
+}
+
+func (g *group) finishReads(r *replica, states []ReadState) {
+	for _, s := range states {
+		if s.Failed {
+			continue
+		}
+		require.GreaterOrEqual(g.t, r.node.Committed(), s.Index)
+		require.GreaterOrEqual(g.t, len(r.applied), g.reads[s.Token], "a read on %s misses what was committed before it", r.node.ID)
+	}
+}
+
+func (g *group) noteLeader(r *replica) {
+	if r.node.Role() != Leader {
+		return
+	}
+	known, ok := g.leaders[r.node.Term()]
+	require.True(g.t, !ok || known == r.node.ID, "term %d has leaders %s and %s", r.node.Term(), known, r.node.ID)
+	g.leaders[r.node.Term()] = r.node.ID
+}
+
+// deliver hands over one message, perhaps out of order, twice or never.
+func (g *group) deliver(loss int) {
+	if len(g.network) == 0 {
+		return
+	}
+	i := 0
+	if g.rng.Intn(4) == 0 {
+		i = g.rng.Intn(len(g.network))
+	}
+	m := g.network[i]
+	if g.rng.Intn(20) != 0 {
+		g.network = slices.Delete(g.network, i, i+1)
+	}
+	r := g.replicas[m.GetTo()]
+	if r == nil || r.down || g.rng.Intn(100) < loss || g.cut[[2]string{m.GetFrom(), m.GetTo()}] {
+		return
+	}
+	r.node.Step(proto.CloneOf(m))
+	g.work(m.GetTo(), false)
+}
+
+// step does one random thing.
+func (g *group) step(loss int) {
+	id := g.ids()[g.rng.Intn(len(g.replicas))]
+	r := g.replicas[id]
+	switch n := g.rng.Intn(1000); {
+	case n < 700:
+		g.deliver(loss)
+	case r.down:
+		if n < 800 {
+			g.start(id)
+		}
+	case n < 900:
+		r.node.Tick()
+		g.work(id, false)
+	case n < 950:
+		g.propose(r)
+	case n < 965:
+		g.read(r)
+	case n < 970:
+		g.compact(r)
+	case n < 975:
+		g.propose(r)
+		r.node.Tick()
+		g.work(id, true)
+	case n < 985:
+		other := g.ids()[g.rng.Intn(len(g.replicas))]
+		g.cut[[2]string{id, other}] = g.rng.Intn(2) == 0
+	case n < 988:
+		clear(g.cut)
+	}
+}
+
+func (g *group) propose(r *replica) {
+	g.proposed++
+	if _, _, err := r.node.Propose([]byte(string(rune('a' + g.proposed%26)))); err == nil {
+		g.work(r.node.ID, false)
+	}
+}
+
+func (g *group) read(r *replica) {
+	g.token++
+	if r.node.Read(g.token) == nil {
+		g.reads[g.token] = len(g.committed)
+		r.node.ConfirmReads()
+		g.work(r.node.ID, false)
+	}
+}
+
+func (g *group) compact(r *replica) {
+	index := r.node.Applied()
+	if index <= r.disk.snapshot.GetIndex() {
+		return
+	}
+	term, members := r.node.TermAt(index)
+	s := &wire.Snapshot{Index: index, Term: term, Members: members, Data: encodeApplied(r.applied)}
+	require.NoError(g.t, r.node.Compact(index))
+	hard, rest := r.node.Unsnapshotted()
+	r.disk = disk{hard: hard, snapshot: s, entries: slices.Clone(rest)}
+}
+
+// heal ends all faults and lets the group come to rest.
+func (g *group) heal() {
+	clear(g.cut)
+	for _, id := range g.ids() {
+		if g.replicas[id].down {
+			g.start(id)
+		}
+	}
+	for range 400 {
+		for _, id := range g.ids() {
+			g.replicas[id].node.Tick()
+			g.work(id, false)
+		}
+		for len(g.network) > 0 {
+			g.deliver(0)
+		}
+	}
+}
+
+func (g *group) leader() *replica {
+	for _, r := range g.replicas {
+		if !r.down && r.node.Role() == Leader {
+			return r
+		}
+	}
+	return nil
+}
