--- a/app/main.go
+++ b/app/main.go
@@ -68,5 +68,17 @@
 	c.Register(c.HelpCommand(), "")
 	c.Register(c.FlagsCommand(), "")
 	c.Register(c.CommandsCommand(), "")
-	c.Register(&demoCommand{Shell: s}, "developer")
+	o := operatorCommand{Shell: s}
+	c.Register(&serveCommand{Shell: s}, "processes")
+	c.Register(&initCommand{Shell: s}, "processes")
+	c.Register(&checkCommand{Shell: s}, "processes")
+	c.Register(&applyCommand{operatorCommand: o}, "operators")
+	c.Register(&orgCommand{operatorCommand: o}, "operators")
+	c.Register(&topUpCommand{operatorCommand: o}, "operators")
+	c.Register(&keyCommand{operatorCommand: o}, "operators")
+	c.Register(&memberCommand{operatorCommand: o}, "operators")
+	c.Register(&statusCommand{operatorCommand: o}, "operators")
+	c.Register(&timelineCommand{operatorCommand: o}, "operators")
+	c.Register(&demoCommand{Shell: s}, "developers")
+	c.Register(&standinCommand{Shell: s}, "developers")
 }
--- /dev/null
+++ b/app/serve_command.go
@@ -0,0 +1,110 @@
+package app
+
+import (
+	"context"
+	"flag"
+	"strings"
+
+	"github.com/google/subcommands"
+
+	"buckthornpin/config"
+)
+
+// settingsFlags name the files of the settings.
+type settingsFlags struct {
+	files string
+}
+
+func (s *settingsFlags) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&s.files, "config", "", "settings: the base file and its overlays, comma separated")
+}
+
+func (s *settingsFlags) load() (config.Settings, error) {
+	var paths []string
+	for _, p := range strings.Split(s.files, ",") {
+		if p = strings.TrimSpace(p); p != "" {
+			paths = append(paths, p)
+		}
+	}
+	return config.Load(paths...)
+}
+
+// serveCommand runs a process of the system.
+type serveCommand struct {
+	*Shell
+	settingsFlags
+}
+
+// Name implements subcommands.Command.
+func (*serveCommand) Name() string { return "serve" }
+
+// Synopsis implements subcommands.Command.
+func (*serveCommand) Synopsis() string { return "run a router, a control replica, or both" }
+
+// Usage implements subcommands.Command.
+func (*serveCommand) Usage() string {
+	return `serve -config BASE[,OVERLAY...]
+Runs the roles that the settings name until SIGINT or SIGTERM, then stops
+gracefully: no request in progress is cut off. Logs are JSON lines on stderr.
+Example:
+  buckthornpin serve -config base.json,kl.json,vm-1.json
+`
+}
+
+// Execute implements subcommands.Command.
+func (c *serveCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	s, err := c.load()
+	if err != nil {
+		return c.fail(ExitUsage, err)
+	}
+	p := &Process{Settings: s, Build: c.Build, Log: c.Logger(s.Log.Level)}
+	if err := p.Open(); err != nil {
+		return c.fail(ExitFailed, err)
+	}
+	if err := p.Run(ctx); err != nil {
+		return c.fail(ExitFailed, err)
+	}
+	return ExitOK
+}
+
+// checkCommand checks settings.
+type checkCommand struct {
+	*Shell
+	settingsFlags
+	json bool
+}
+
+// Name implements subcommands.Command.
+func (*checkCommand) Name() string { return "check" }
+
+// Synopsis implements subcommands.Command.
+func (*checkCommand) Synopsis() string { return "check settings and print them with all defaults" }
+
+// Usage implements subcommands.Command.
+func (*checkCommand) Usage() string {
+	return `check -config BASE[,OVERLAY...] [-json]
+Reports all problems at once, each with its field, its value and what was
+expected, and exits 2. Settings without a problem are printed with -json.
+Example:
+  buckthornpin check -config base.json,kl.json,vm-1.json
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (c *checkCommand) SetFlags(f *flag.FlagSet) {
+	c.settingsFlags.SetFlags(f)
+	f.BoolVar(&c.json, "json", false, "print the settings in force")
+}
+
+// Execute implements subcommands.Command.
+func (c *checkCommand) Execute(_ context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	s, err := c.load()
+	if err != nil {
+		return c.fail(ExitUsage, err)
+	}
+	if c.json {
+		return c.printIndented(s)
+	}
+	_, _ = c.Out.Write([]byte("settings are good\n"))
+	return ExitOK
+}
