--- a/app/process.go
+++ b/app/process.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"expvar"
 	"net"
 	"net/http"
@@ -54,7 +53,7 @@
 	line        *event.Line
 	clock       *event.Clock
 	files       *conn.Files
-	clientTLS   *tls.Config
+	dialer      *conn.Dialer
 	secret      string
 	replica     *ctrl.Replica
 	links       *ctrl.Links
@@ -96,13 +95,17 @@
 }
 
 func (p *Process) openTLS() error {
+	p.dialer = &conn.Dialer{}
+	for _, v := range p.Settings.Dial {
+		p.dialer.Via = append(p.dialer.Via, conn.Via{Address: v.Address, Through: v.Through})
+	}
 	t := p.Settings.TLS
 	if !t.Enabled {
 		return nil
 	}
 	p.files = &conn.Files{CertFile: t.CertFile, KeyFile: t.KeyFile, CAFile: t.CAFile}
 	var err error
-	p.clientTLS, err = p.files.Client()
+	p.dialer.TLS, err = p.files.Client()
 	return err
 }
 
@@ -158,7 +161,7 @@
 	if !p.Settings.Has(config.RoleControl) {
 		return nil
 	}
-	p.links = &ctrl.Links{HTTP: conn.InternalClient(p.clientTLS), Scheme: conn.Scheme(p.clientTLS), Options: p.clientOptions()}
+	p.links = &ctrl.Links{HTTP: p.dialer.Internal(), Scheme: p.dialer.Scheme(), Options: p.clientOptions()}
 	p.replica = &ctrl.Replica{
 		Folder: &store.Folder{Path: p.Settings.Ctrl.DataDir}, Transport: p.links, Events: p.line, Log: p.Log,
 		Tick: time.Duration(p.Settings.Ctrl.Tick), ElectionTicks: p.Settings.Ctrl.ElectionTicks, SnapshotBytes: p.Settings.Ctrl.SnapshotBytes,
@@ -176,8 +179,8 @@
 
 func (p *Process) openClient() error {
 	p.client = &ctrl.Client{
-		Addresses: p.Settings.Ctrl.Group, HTTP: conn.InternalClient(p.clientTLS),
-		Scheme: conn.Scheme(p.clientTLS), Options: p.clientOptions(),
+		Addresses: p.Settings.Ctrl.Group, HTTP: p.dialer.Internal(),
+		Scheme: p.dialer.Scheme(), Options: p.clientOptions(),
 	}
 	p.batcher = &ctrl.Batcher{Client: p.client}
 	p.batcher.Open()
@@ -191,10 +194,11 @@
 		return nil
 	}
 	s := p.Settings
+	plain := &conn.Dialer{Via: p.dialer.Via}
 	p.directory = &peer.Directory{Events: p.line, DeadAfter: time.Duration(s.Endpt.DeadAfter), Addresses: p.mirror.AnnounceAddresses}
 	p.gossip = &peer.Gossip{
-		Router: s.VM, Address: s.Peer.Address, Directory: p.directory, HTTP: conn.InternalClient(p.clientTLS),
-		Scheme: conn.Scheme(p.clientTLS), Options: p.clientOptions(), Peers: p.mirror.Peers,
+		Router: s.VM, Address: s.Peer.Address, Directory: p.directory, HTTP: p.dialer.Internal(),
+		Scheme: p.dialer.Scheme(), Options: p.clientOptions(), Peers: p.mirror.Peers,
 		PeerOf: func(vm string) string { return p.mirror.RouterState(vm).GetPeerAddress() },
 	}
 	p.router = &router.Router{
@@ -204,7 +208,7 @@
 		ReserveTimeout: time.Duration(s.Budget.ReserveTimeout), SettleTimeout: time.Duration(s.Budget.SettleTimeout),
 		ReconnectGrace: time.Duration(s.Caller.ReconnectGrace), KeptBytes: s.Caller.KeptBytes, ChargeOrphans: s.Budget.ChargeOrphans,
 		Endpoints: &endpt.Client{
-			HTTP: conn.ExternalClient(nil), FreshHTTP: conn.FreshClient(nil), Scheme: "http", Secret: p.endpointSecret,
+			HTTP: plain.External(), FreshHTTP: plain.Fresh(), Scheme: plain.Scheme(), Secret: p.endpointSecret,
 			Silence: time.Duration(s.Endpt.Silence), MaxAnswerBytes: s.Endpt.MaxAnswerBytes,
 		},
 	}
--- a/app/standin_command.go
+++ b/app/standin_command.go
@@ -17,9 +17,9 @@
 // standinCommand runs a stand-in endpoint.
 type standinCommand struct {
 	*Shell
-	id, zone, address, routers, models, services, secretFile string
-	capacity                                                 int
-	pace                                                     time.Duration
+	id, zone, address, advertise, routers, models, services, secretFile string
+	capacity                                                            int
+	pace                                                                time.Duration
 }
 
 // Name implements subcommands.Command.
@@ -46,6 +46,7 @@
 	f.StringVar(&c.id, "id", "", "name of the endpoint")
 	f.StringVar(&c.zone, "zone", "", "availability zone")
 	f.StringVar(&c.address, "address", "127.0.0.1:0", "IP:PORT to serve on")
+	f.StringVar(&c.advertise, "advertise", "", "IP:PORT to announce; -address if empty")
 	f.StringVar(&c.routers, "routers", "", "routers to announce to")
 	f.StringVar(&c.models, "models", "", "models, comma separated")
 	f.StringVar(&c.services, "services", "", "plain services, comma separated")
@@ -73,7 +74,7 @@
 	}
 	e := &stand.Endpoint{
 		ID: c.id, Zone: c.zone, Models: list(c.models), Services: list(c.services), Capacity: c.capacity, Pace: c.pace,
-		Routers: list(c.routers), Secret: secret, Listener: l, Crash: func() { os.Exit(int(ExitFailed)) },
+		Routers: list(c.routers), Secret: secret, Listener: l, Advertise: c.advertise, Crash: func() { os.Exit(int(ExitFailed)) },
 	}
 	_, _ = fmt.Fprintf(c.Out, "%s serves on %s\n", c.id, l.Addr())
 	if err := e.Run(ctx); err != nil {
--- a/config/check.go
+++ b/config/check.go
@@ -70,6 +70,10 @@
 		c.expect(!taken || l.address == "" || anyPort(l.address), l.field, l.address, "an address other than that of "+other)
 		seen[l.address] = l.field
 	}
+	for _, d := range s.Dial {
+		c.expect(validAddress(d.Address), "dial.address", d.Address, "IP:PORT")
+		c.expect(validAddress(d.Through), "dial.through", d.Through, "IP:PORT")
+	}
 	for _, a := range s.Ctrl.Group {
 		c.expect(validAddress(a), "ctrl.group", a, "IP:PORT")
 	}
--- a/config/settings.go
+++ b/config/settings.go
@@ -52,6 +52,17 @@
 	Budget BudgetSettings `json:"budget"`
 	TLS    TLSSettings    `json:"tls"`
 	Log    LogSettings    `json:"log"`
+
+	// Dial are addresses that this VM reaches through another one.
+	Dial []DialSettings `json:"dial"`
+}
+
+// DialSettings are an address that is reached through another one.
+type DialSettings struct {
+	// Address is the IP:PORT as other settings name it.
+	Address string `json:"address"`
+	// Through is the IP:PORT to connect to.
+	Through string `json:"through"`
 }
 
 // CallerSettings are the settings of the callers' interface.
--- a/conn/client.go
+++ b/conn/client.go
@@ -3,6 +3,7 @@
 package conn
 
 import (
+	"context"
 	"crypto/tls"
 	"net"
 	"net/http"
@@ -23,38 +24,59 @@
 	maxIdlePerHost = 256
 )
 
-// InternalClient returns a client for the calls between our own processes:
-// HTTP/2, with pings.
-func InternalClient(tlsConfig *tls.Config) *http.Client {
-	t := transport(tlsConfig)
+// Via is an address that is reached through another one.
+type Via struct {
+	Address string
+	Through string
+}
+
+// Dialer makes HTTP clients. Its exported fields are set before first use.
+type Dialer struct {
+	// TLS is nil for plain connections.
+	TLS *tls.Config
+	// Via are the addresses that are reached through another one.
+	Via []Via
+}
+
+// Internal returns a client for the calls between our own processes: HTTP/2,
+// with pings.
+func (d *Dialer) Internal() *http.Client {
+	t := d.transport()
 	t.Protocols = new(http.Protocols)
 	t.Protocols.SetHTTP2(true)
-	t.Protocols.SetUnencryptedHTTP2(tlsConfig == nil)
+	t.Protocols.SetUnencryptedHTTP2(d.TLS == nil)
 	t.HTTP2 = &http.HTTP2Config{SendPingTimeout: PingAfter, PingTimeout: PingTimeout}
 	return &http.Client{Transport: t}
 }
 
-// ExternalClient returns a client for endpoints and operators: HTTP/1.1, whose
+// External returns a client for endpoints and operators: HTTP/1.1, whose
 // connections carry one request at a time.
-func ExternalClient(tlsConfig *tls.Config) *http.Client {
-	t := transport(tlsConfig)
+func (d *Dialer) External() *http.Client {
+	t := d.transport()
 	t.Protocols = new(http.Protocols)
 	t.Protocols.SetHTTP1(true)
 	return &http.Client{Transport: t}
 }
 
-// FreshClient returns a client that opens a new connection for each request.
-func FreshClient(tlsConfig *tls.Config) *http.Client {
-	c := ExternalClient(tlsConfig)
+// Fresh returns a client that opens a new connection for each request.
+func (d *Dialer) Fresh() *http.Client {
+	c := d.External()
 	c.Transport.(*http.Transport).DisableKeepAlives = true
 	return c
 }
 
-func transport(tlsConfig *tls.Config) *http.Transport {
-	d := &net.Dialer{Timeout: DialTimeout, KeepAlive: PingAfter}
+// Scheme returns the URL scheme of the connections.
+func (d *Dialer) Scheme() string {
+	if d.TLS == nil {
+		return "http"
+	}
+	return "https"
+}
+
+func (d *Dialer) transport() *http.Transport {
 	return &http.Transport{
-		DialContext:         d.DialContext,
-		TLSClientConfig:     tlsConfig,
+		DialContext:         d.dial,
+		TLSClientConfig:     d.TLS,
 		TLSHandshakeTimeout: DialTimeout,
 		IdleConnTimeout:     IdleTimeout,
 		MaxIdleConnsPerHost: maxIdlePerHost,
@@ -62,10 +84,13 @@
 	}
 }
 
-// Scheme returns the URL scheme for a link.
-func Scheme(tlsConfig *tls.Config) string {
-	if tlsConfig == nil {
-		return "http"
+func (d *Dialer) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	for _, v := range d.Via {
+		if v.Address == address {
+			address = v.Through
+			break
+		}
 	}
-	return "https"
+	plain := &net.Dialer{Timeout: DialTimeout, KeepAlive: PingAfter}
+	return plain.DialContext(ctx, network, address)
 }
--- a/stand/announce.go
+++ b/stand/announce.go
@@ -28,6 +28,13 @@
 	}
 }
 
+func (e *Endpoint) address() string {
+	if e.Advertise != "" {
+		return e.Advertise
+	}
+	return e.Listener.Addr().String()
+}
+
 // targets returns the next n routers in turn, so that each hears the endpoint
 // now and then.
 func (e *Endpoint) targets(n int) []string {
@@ -41,7 +48,7 @@
 
 func (e *Endpoint) announce(ctx context.Context, routers []string) {
 	m := endpt.Announcement{
-		Endpoint: e.ID, Address: e.Listener.Addr().String(), Zone: e.Zone, Models: e.Models, Services: e.Services,
+		Endpoint: e.ID, Address: e.address(), Zone: e.Zone, Models: e.Models, Services: e.Services,
 		Capacity: e.Capacity, Incarnation: e.incarnation, Sequence: e.sequence.Add(1),
 		Leaving: e.leaving.Load(), Running: int(e.running.Load()),
 	}
@@ -78,7 +85,7 @@
 	}
 }
 
-var announceClient = conn.ExternalClient(nil)
+var announceClient = (&conn.Dialer{}).External()
 
 func (e *Endpoint) learn(routers []string) {
 	e.mu.Lock()
--- a/stand/endpoint.go
+++ b/stand/endpoint.go
@@ -41,6 +41,8 @@
 	// Routers are the first addresses to announce to.
 	Routers []string
 	Secret  string
+	// Advertise is the announced address; that of Listener if empty.
+	Advertise string
 	// Listener is the open listener; Run closes it.
 	Listener net.Listener
 	// Crash is called by a request that asks for it.
