Add the load tool, byte counters and the benchmark of the added first token; number lease changes

Tests took ports of the system's outgoing range, so that a process now and then found its address in use (seen once in six benchmark sites); they count through ports below that range now.

--- a/app/main.go
+++ b/app/main.go
@@ -98,4 +98,5 @@
 	c.Register(&timelineCommand{operatorCommand: o}, "operators")
 	c.Register(&demoCommand{Shell: s}, "developers")
 	c.Register(&standinCommand{Shell: s}, "developers")
+	c.Register(&loadCommand{Shell: s}, "developers")
 }
--- a/app/process.go
+++ b/app/process.go
@@ -50,10 +50,12 @@
 	Log       zerolog.Logger
 	Listeners Listeners
 
-	line        *event.Line
-	clock       *event.Clock
-	files       *conn.Files
-	dialer      *conn.Dialer
+	line   *event.Line
+	clock  *event.Clock
+	files  *conn.Files
+	dialer *conn.Dialer
+	// traffic counts the bytes between this process and others of the system.
+	traffic     *conn.Traffic
 	secret      string
 	replica     *ctrl.Replica
 	links       *ctrl.Links
@@ -95,7 +97,9 @@
 }
 
 func (p *Process) openTLS() error {
-	p.dialer = &conn.Dialer{}
+	p.traffic = &conn.Traffic{}
+	p.metrics.Set("internal", p.traffic.Metrics())
+	p.dialer = &conn.Dialer{Traffic: p.traffic}
 	for _, v := range p.Settings.Dial {
 		p.dialer.Via = append(p.dialer.Via, conn.Via{Address: v.Address, Through: v.Through})
 	}
--- a/conn/client.go
+++ b/conn/client.go
@@ -36,6 +36,8 @@
 	TLS *tls.Config
 	// Via are the addresses that are reached through another one.
 	Via []Via
+	// Traffic counts the connections' bytes, if set.
+	Traffic *Traffic
 }
 
 // Internal returns a client for the calls between our own processes: HTTP/2,
@@ -92,5 +94,9 @@
 		}
 	}
 	plain := &net.Dialer{Timeout: DialTimeout, KeepAlive: PingAfter}
-	return plain.DialContext(ctx, network, address)
+	c, err := plain.DialContext(ctx, network, address)
+	if err != nil || d.Traffic == nil {
+		return c, err
+	}
+	return &countedConn{Conn: c, traffic: d.Traffic}, nil
 }
--- /dev/null
+++ b/integ/bench_test.go
@@ -0,0 +1,153 @@
+package integ
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"buckthornpin/app"
+)
+
+const (
+	loadTime = 6 * time.Second
+	// clockTicks is the unit of processor times in /proc, per second.
+	clockTicks = 100
+)
+
+// usage is what a process has used so far.
+type usage struct {
+	cpu      time.Duration
+	rssBytes int64
+	bytes    float64
+	commands float64
+	syncs    float64
+}
+
+func (s *site) usage(v *vm) usage {
+	pid := strconv.Itoa(v.cmd.Process.Pid)
+	stat, err := os.ReadFile("/proc/" + pid + "/stat")
+	require.NoError(s.t, err)
+	fields := strings.Fields(string(stat[strings.LastIndexByte(string(stat), ')')+2:]))
+	user, _ := strconv.ParseInt(fields[11], 10, 64)
+	system, _ := strconv.ParseInt(fields[12], 10, 64)
+	pages, _ := strconv.ParseInt(fields[21], 10, 64)
+	u := usage{cpu: time.Duration(user+system) * time.Second / clockTicks, rssBytes: pages * int64(os.Getpagesize())}
+	m := s.metrics(v)
+	u.bytes = m.Internal.In + m.Internal.Out
+	u.commands, u.syncs = m.Replica.Commands, m.Replica.Syncs
+	return u
+}
+
+// metrics is the part of a process's metrics that the benchmarks read.
+type metrics struct {
+	Internal struct {
+		In  float64 `json:"bytes_in"`
+		Out float64 `json:"bytes_out"`
+	} `json:"internal"`
+	Replica struct {
+		Commands float64 `json:"commands"`
+		Syncs    float64 `json:"syncs"`
+	} `json:"replica"`
+}
+
+func (s *site) metrics(v *vm) metrics {
+	var m metrics
+	res, err := http.Get("http://" + v.settings.Platf.Address + "/metrics")
+	require.NoError(s.t, err)
+	defer func() { _ = res.Body.Close() }()
+	require.NoError(s.t, json.NewDecoder(res.Body).Decode(&m))
+	return m
+}
+
+func (s *site) urls() []string {
+	var out []string
+	for _, r := range s.routers {
+		out = append(out, "http://"+r.settings.Caller.Address)
+	}
+	return out
+}
+
+// delayLinks gives each link between two processes a one-way latency of 1.5 ms;
+// the proxy takes whole milliseconds, so one way takes 1 and the other 2.
+func (s *site) delayLinks() {
+	for k, l := range s.links {
+		if k[0] != "" {
+			l.add(toxic{Name: "delay-up", Type: "latency", Stream: "upstream", Attributes: map[string]int64{"latency": 1}})
+			l.add(toxic{Name: "delay-down", Type: "latency", Stream: "downstream", Attributes: map[string]int64{"latency": 2}})
+		}
+	}
+}
+
+// BenchmarkAddedFirstToken compares the first token through the routers with
+// the direct call to an engine, in one run, at several rates.
+func BenchmarkAddedFirstToken(b *testing.B) {
+	for _, delayed := range []bool{false, true} {
+		for _, rate := range []float64{50, 500, 2000} {
+			b.Run(fmt.Sprintf("delayed=%v/rate=%.0f", delayed, rate), func(b *testing.B) {
+				s := start(b, plan{controls: 3, routers: 2, engines: 3, direct: true})
+				if delayed {
+					s.delayLinks()
+				}
+				s.organisation("fleet", 1<<40)
+				for b.Loop() {
+					s.compare(b, rate)
+				}
+			})
+		}
+	}
+}
+
+func (s *site) compare(b *testing.B, rate float64) {
+	load := app.Load{URLs: s.urls(), Key: s.keys["fleet"], Model: model, Rate: rate, For: loadTime, Seed: 7, Tokens: 10}
+	before := map[string]usage{}
+	for _, v := range append(append([]*vm{}, s.controls...), s.routers...) {
+		before[v.name] = s.usage(v)
+	}
+	leader := s.leader().name
+	routed := load.Run(b.Context())
+	s.reportUsage(b, before, leader, routed)
+	direct := app.Load{Model: model, Rate: rate, For: loadTime, Seed: 7, Tokens: 10, Direct: true}
+	for _, e := range s.engines {
+		direct.URLs = append(direct.URLs, "http://"+argument(e.args, "-address"))
+	}
+	plain := direct.Run(b.Context())
+	require.Equal(b, routed.Sent, routed.Whole, "%+v", routed)
+	require.Equal(b, plain.Sent, plain.Whole, "%+v", plain)
+	b.ReportMetric(routed.First.P50-plain.First.P50, "added-p50-ms")
+	b.ReportMetric(routed.First.P99-plain.First.P99, "added-p99-ms")
+	b.ReportMetric(routed.First.P99, "routed-p99-ms")
+	b.ReportMetric(plain.First.P99, "direct-p99-ms")
+}
+
+func (s *site) reportUsage(b *testing.B, before map[string]usage, leader string, r app.LoadReport) {
+	var routers, bytes float64
+	for _, v := range s.routers {
+		u := s.usage(v)
+		routers += (u.cpu - before[v.name].cpu).Seconds()
+		bytes += u.bytes - before[v.name].bytes
+	}
+	n := float64(r.Sent)
+	l := s.vms[leader]
+	u, old := s.usage(l), before[leader]
+	b.ReportMetric(routers/n*1e6, "router-us/request")
+	b.ReportMetric((u.cpu-old.cpu).Seconds()/n*1e6, "leader-us/request")
+	b.ReportMetric(bytes/n, "router-control-B/request")
+	b.ReportMetric((u.bytes-old.bytes)/n, "leader-B/request")
+	b.ReportMetric((u.syncs-old.syncs)/n, "syncs/request")
+}
+
+func argument(args []string, name string) string {
+	for i, a := range args {
+		if a == name {
+			return args[i+1]
+		}
+	}
+	return ""
+}
--- a/integ/control_failure_test.go
+++ b/integ/control_failure_test.go
@@ -23,8 +23,8 @@
 	bad     []string
 }
 
-func (s *site) traffic(org string, callers int) *traffic {
-	t := &traffic{s: s, org: org, stop: make(chan struct{})}
+func (s *site) traffic(callers int) *traffic {
+	t := &traffic{s: s, org: "fleet", stop: make(chan struct{})}
 	for i := range callers {
 		t.done.Go(func() { t.caller(i) })
 	}
@@ -106,7 +106,7 @@
 func TestKilledLeaders(t *testing.T) {
 	s := start(t, plan{controls: 3, routers: 2, engines: 2})
 	s.organisation("fleet", 10_000_000)
-	load := s.traffic("fleet", 4)
+	load := s.traffic(4)
 	for range 3 {
 		load.waitForMore(10)
 		l := s.leader()
@@ -121,7 +121,7 @@
 func TestSilentlyCutLeader(t *testing.T) {
 	s := start(t, plan{controls: 3, routers: 2, engines: 2})
 	s.organisation("fleet", 10_000_000)
-	load := s.traffic("fleet", 4)
+	load := s.traffic(4)
 	load.waitForMore(10)
 	old := s.leader()
 	s.cutOff(old, false)
@@ -140,7 +140,7 @@
 func TestOneWayCutLeader(t *testing.T) {
 	s := start(t, plan{controls: 3, routers: 2, engines: 2})
 	s.organisation("fleet", 10_000_000)
-	load := s.traffic("fleet", 4)
+	load := s.traffic(4)
 	load.waitForMore(10)
 	old := s.leader()
 	for k, l := range s.links {
@@ -160,7 +160,7 @@
 func TestFrozenLeader(t *testing.T) {
 	s := start(t, plan{controls: 3, routers: 2, engines: 2})
 	s.organisation("fleet", 10_000_000)
-	load := s.traffic("fleet", 4)
+	load := s.traffic(4)
 	load.waitForMore(10)
 	old := s.leader()
 	s.freeze(old)
--- a/integ/endpoint_failure_test.go
+++ b/integ/endpoint_failure_test.go
@@ -23,7 +23,7 @@
 		{"it breaks before the first token", "@break_at=0"},
 	}
 	for _, sc := range scenarios {
-		t.Run(sc.description, func(t *testing.T) {
+		t.Run(sc.description, func(*testing.T) {
 			a := ask{org: "fleet", content: "brief @tokens=20 " + sc.fault}
 			s.requireWhole(a, s.send("router-1", a))
 			cost += a.cost()
@@ -37,7 +37,7 @@
 func TestSilentEndpointLink(t *testing.T) {
 	s := start(t, plan{controls: 1, routers: 2, engines: 3})
 	s.organisation("fleet", 10_000_000)
-	load := s.traffic("fleet", 24)
+	load := s.traffic(24)
 	load.waitForMore(50)
 	s.links[[2]string{"", "engine-1"}].silence()
 	s.eventually("a request has left the silent engine", func() bool { return s.happened("retried", "engine-1") })
@@ -51,7 +51,7 @@
 func TestKilledEngine(t *testing.T) {
 	s := start(t, plan{controls: 1, routers: 2, engines: 3})
 	s.organisation("fleet", 10_000_000)
-	load := s.traffic("fleet", 24)
+	load := s.traffic(24)
 	load.waitForMore(50)
 	s.kill(s.engines[0])
 	s.eventually("a request has left the dead engine", func() bool { return s.happened("retried", "engine-1") })
@@ -76,7 +76,7 @@
 func TestLeavingEngine(t *testing.T) {
 	s := start(t, plan{controls: 1, routers: 2, engines: 2})
 	s.organisation("fleet", 10_000_000)
-	load := s.traffic("fleet", 4)
+	load := s.traffic(4)
 	load.waitForMore(10)
 	began := time.Now()
 	require.NoError(t, s.terminate(s.engines[0]))
@@ -131,7 +131,7 @@
 	r := s.send("router-1", a)
 	require.Equal(t, "not_run", r.outcome, r.text)
 	require.Equal(t, "1", r.next)
-	s.addEndpoint(0, false)
+	s.addEndpoint(0, false, false)
 	s.waitReady(2)
 	late := s.send("router-2", a)
 	require.Equal(t, "not_run", late.outcome, "a late copy of the refused attempt doesn't run")
--- a/integ/link_test.go
+++ b/integ/link_test.go
@@ -17,14 +17,14 @@
 
 // link is one direction of connecting: from a process to an address.
 type link struct {
-	t     *testing.T
+	t     testing.TB
 	name  string
 	proxy *toxiproxy.Proxy
 	mu    sync.Mutex
 	cut   bool
 }
 
-func newLink(t *testing.T, name, upstream string) *link {
+func newLink(t testing.TB, name, upstream string) *link {
 	t.Helper()
 	l := &link{t: t, name: name, proxy: toxiproxy.NewProxy(proxyServer, name, "127.0.0.1:0", upstream)}
 	require.NoError(t, l.proxy.Start())
--- a/integ/router_failure_test.go
+++ b/integ/router_failure_test.go
@@ -107,7 +107,7 @@
 func TestRollingRestart(t *testing.T) {
 	s := start(t, plan{controls: 3, routers: 2, engines: 2})
 	s.organisation("fleet", 10_000_000)
-	load := s.traffic("fleet", 4)
+	load := s.traffic(4)
 	for _, r := range s.routers {
 		load.waitForMore(8)
 		a := ask{org: "fleet", key: "held-by-" + r.name, content: "a long brief @tokens=100 @pace_ms=10"}
--- a/integ/site_test.go
+++ b/integ/site_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -49,7 +50,7 @@
 
 // site is a whole site of real processes.
 type site struct {
-	t        *testing.T
+	t        testing.TB
 	folder   string
 	controls []*vm
 	routers  []*vm
@@ -69,10 +70,12 @@
 	controls, routers, engines, services int
 	// adjust changes the settings of each process.
 	adjust func(*config.Settings)
+	// direct announces the engines' own addresses, without a proxy.
+	direct bool
 }
 
 // start starts a site and waits until it is ready.
-func start(t *testing.T, p plan) *site {
+func start(t testing.TB, p plan) *site {
 	t.Helper()
 	s := &site{
 		t: t, folder: t.TempDir(), vms: map[string]*vm{}, links: map[[2]string]*link{}, keys: map[string]string{},
@@ -91,7 +94,7 @@
 		s.launch(v)
 	}
 	for i := range p.engines + p.services {
-		s.addEndpoint(i, i < p.engines)
+		s.addEndpoint(i, i < p.engines, p.direct)
 	}
 	s.waitReady(p.engines + p.services)
 	return s
@@ -100,19 +103,36 @@
 // addresses picks a free port for each listener of the site.
 func (s *site) addresses(p plan) []string {
 	s.t.Helper()
-	n := (p.controls + p.routers) * 6
-	var open []net.Listener
 	var out []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(s.t, err)
-		open = append(open, l)
-		out = append(out, l.Addr().String())
+	for range (p.controls + p.routers) * 6 {
+		out = append(out, s.freeAddress())
 	}
-	for _, l := range open {
+	return out
+}
+
+// lastPort counts through ports below those that the system gives to outgoing
+// connections, so that none of these takes an address that a process will use.
+var lastPort atomic.Int32
+
+const (
+	firstPort = 15000
+	portCount = 15000
+)
+
+// freeAddress returns an address that nothing listens on and no other test uses.
+func (s *site) freeAddress() string {
+	s.t.Helper()
+	for range portCount {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+lastPort.Add(1)%portCount)
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
 		require.NoError(s.t, l.Close())
+		return address
 	}
-	return out
+	require.FailNow(s.t, "no port is free")
+	return ""
 }
 
 func (s *site) baseSettings(name string, n int, role string, addresses []string) config.Settings {
@@ -213,7 +233,7 @@
 	return string(out)
 }
 
-func (s *site) addEndpoint(i int, engine bool) {
+func (s *site) addEndpoint(i int, engine, direct bool) {
 	s.t.Helper()
 	name := fmt.Sprintf("engine-%d", len(s.engines)+1)
 	args := []string{"standin", "-id", name, "-routers", strings.Join(s.seed, ","), "-zone", fmt.Sprintf("zone-%d", i%4+1)}
@@ -222,13 +242,14 @@
 	} else {
 		args = append(args, "-services", service)
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(s.t, err)
-	address := l.Addr().String()
-	require.NoError(s.t, l.Close())
+	address := s.freeAddress()
 	lk := newLink(s.t, "to "+name, address)
 	s.links[[2]string{"", name}] = lk
-	v := &vm{name: name, args: append(args, "-address", address, "-advertise", lk.address())}
+	args = append(args, "-address", address)
+	if !direct {
+		args = append(args, "-advertise", lk.address())
+	}
+	v := &vm{name: name, args: args}
 	s.engines = append(s.engines, v)
 	s.vms[name] = v
 	s.spawn(v)
@@ -377,8 +398,7 @@
 	s.t.Helper()
 	s.offline[v.name] = true
 	require.NoError(s.t, v.cmd.Process.Kill())
-	<-v.ended
-	v.ended <- nil
+	v.ended <- <-v.ended
 }
 
 // terminate asks a process to stop and returns how it ended.
@@ -436,7 +456,7 @@
 		all.Go(func() {
 			_ = v.cmd.Process.Signal(syscall.SIGCONT)
 			_ = v.cmd.Process.Kill()
-			<-v.ended
+			v.ended <- <-v.ended
 		})
 	}
 	all.Wait()
--- a/ledger/lease.go
+++ b/ledger/lease.go
@@ -29,6 +29,7 @@
 		Revision:     l.nextRevision(),
 	}
 	l.orphan(c.GetRouter(), incarnation)
+	l.dropEmptyLeases(c.GetRouter(), incarnation)
 	return &wire.Result{Kind: wire.ResultKind_RESULT_KIND_OK, Version: incarnation}
 }
 
@@ -52,20 +53,35 @@
 	if l.routers[c.GetRouter()].GetIncarnation() != c.GetIncarnation() {
 		return failed(wire.ResultKind_RESULT_KIND_STALE_ROUTER, "router isn't registered under this incarnation")
 	}
-	share := o.free() / 100 * int64(min(max(c.GetMaxPercent(), 0), 100))
-	tokens := min(c.GetTokens(), share)
-	if tokens <= 0 {
-		return l.insufficient(o, false)
+	s := l.lease(c.GetOrganisation(), c.GetRouter(), c.GetIncarnation())
+	if c.GetSequence() <= s.GetSequence() {
+		return repeated(s, c.GetSequence())
 	}
-	k := leaseKey{organisation: c.GetOrganisation(), router: c.GetRouter(), incarnation: c.GetIncarnation()}
+	share := o.free() / 100 * int64(min(max(c.GetMaxPercent(), 0), 100))
+	tokens := max(min(c.GetTokens(), share), 0)
+	s.Sequence, s.Moved = c.GetSequence(), tokens
+	s.Tokens += tokens
+	o.state.Leased += tokens
+	return &wire.Result{Kind: wire.ResultKind_RESULT_KIND_OK, Tokens: tokens, Free: o.free()}
+}
+
+// lease returns a router's lease on a budget, an empty one if there is none.
+func (l *Ledger) lease(organisation, router string, incarnation int64) *wire.LeaseState {
+	k := leaseKey{organisation: organisation, router: router, incarnation: incarnation}
 	s, ok := l.leases[k]
 	if !ok {
-		s = &wire.LeaseState{Organisation: k.organisation, Router: k.router, Incarnation: k.incarnation}
+		s = &wire.LeaseState{Organisation: organisation, Router: router, Incarnation: incarnation}
 		l.leases[k] = s
 	}
-	s.Tokens += tokens
-	o.state.Leased += tokens
-	return &wire.Result{Kind: wire.ResultKind_RESULT_KIND_OK, Tokens: tokens, Free: o.free()}
+	return s
+}
+
+// repeated answers a change to a lease that was carried out before.
+func repeated(s *wire.LeaseState, sequence int64) *wire.Result {
+	if sequence < s.GetSequence() {
+		return failed(wire.ResultKind_RESULT_KIND_SUPERSEDED, "a later change to the lease was carried out")
+	}
+	return &wire.Result{Kind: wire.ResultKind_RESULT_KIND_OK, Tokens: s.GetMoved()}
 }
 
 // settleLease bills a request that ran on a lease. A key that was billed before
@@ -110,18 +126,28 @@
 	if !ok {
 		return failed(wire.ResultKind_RESULT_KIND_NOT_FOUND, "no such lease")
 	}
+	if c.GetSequence() <= s.GetSequence() {
+		return repeated(s, c.GetSequence())
+	}
 	if c.GetTokens() < 0 || c.GetTokens() > s.GetTokens() {
 		return failed(wire.ResultKind_RESULT_KIND_INVALID, "tokens are beyond the lease")
 	}
 	o := l.organisations[c.GetOrganisation()]
+	s.Sequence, s.Moved = c.GetSequence(), c.GetTokens()
 	s.Tokens -= c.GetTokens()
 	o.state.Leased -= c.GetTokens()
-	if s.GetTokens() == 0 {
-		delete(l.leases, k)
-	}
 	return &wire.Result{Kind: wire.ResultKind_RESULT_KIND_OK, Tokens: c.GetTokens(), Free: o.free()}
 }
 
+// dropEmptyLeases forgets the empty leases of a router's earlier processes.
+func (l *Ledger) dropEmptyLeases(router string, incarnation int64) {
+	for k, s := range l.leases {
+		if k.router == router && k.incarnation < incarnation && s.GetTokens() == 0 {
+			delete(l.leases, k)
+		}
+	}
+}
+
 func (r *reservation) dispatch() int32 {
 	if r == nil {
 		return 0
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -74,6 +74,10 @@
 		return l.cancel(op.Cancel)
 	case *wire.Command_SettleLease:
 		return l.settleLease(op.SettleLease)
+	case *wire.Command_GrantLease:
+		return l.grantLease(op.GrantLease)
+	case *wire.Command_CloseLease:
+		return l.closeLease(op.CloseLease)
 	}
 	r := l.applyChange(c)
 	l.remember(c.GetId(), r)
@@ -90,10 +94,6 @@
 		return l.putKey(op.PutKey)
 	case *wire.Command_RegisterRouter:
 		return l.registerRouter(op.RegisterRouter)
-	case *wire.Command_GrantLease:
-		return l.grantLease(op.GrantLease)
-	case *wire.Command_CloseLease:
-		return l.closeLease(op.CloseLease)
 	case *wire.Command_PutConfiguration:
 		return l.putConfiguration(c, op.PutConfiguration)
 	}
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -241,17 +241,18 @@
 func TestLeases(t *testing.T) {
 	d := newDriver(t)
 	grant := func(tokens int64, percent int32) *wire.Result {
-		return d.apply(&wire.Command{Op: &wire.Command_GrantLease{GrantLease: &wire.GrantLease{Organisation: "org", Router: "vm-1", Incarnation: 1, Tokens: tokens, MaxPercent: percent}}})
+		return d.apply(&wire.Command{Op: &wire.Command_GrantLease{GrantLease: &wire.GrantLease{Organisation: "org", Router: "vm-1", Incarnation: 1, Tokens: tokens, MaxPercent: percent, Sequence: 1}}})
 	}
 	spend := func(key string, tokens int64) *wire.Result {
 		return d.apply(&wire.Command{Op: &wire.Command_SettleLease{SettleLease: &wire.SettleLease{Organisation: "org", Key: key, Router: "vm-1", Incarnation: 1, Tokens: tokens}}})
 	}
 	require.Equal(t, int64(500), grant(900, 50).GetTokens(), "no more than the share")
+	require.Equal(t, int64(500), grant(900, 50).GetTokens(), "a repeat grants nothing more")
 	d.requireBudget(0, 0, 500)
 	require.Equal(t, ok, spend("k", 60).GetKind())
 	require.Equal(t, ok, spend("k", 60).GetKind(), "a repeat")
 	d.requireBudget(60, 0, 440)
-	require.Equal(t, ok, d.apply(&wire.Command{Op: &wire.Command_CloseLease{CloseLease: &wire.CloseLease{Organisation: "org", Router: "vm-1", Incarnation: 1, Tokens: 440}}}).GetKind())
+	require.Equal(t, ok, d.apply(&wire.Command{Op: &wire.Command_CloseLease{CloseLease: &wire.CloseLease{Organisation: "org", Router: "vm-1", Incarnation: 1, Tokens: 440, Sequence: 2}}}).GetKind())
 	d.requireBudget(60, 0, 0)
 }
 
@@ -293,11 +294,11 @@
 	case 4:
 		return &wire.Command{Id: id, Op: &wire.Command_Cancel{Cancel: &wire.Cancel{Organisation: "org", Key: key, Dispatch: dispatch, Tombstone: flag, Digest: "d"}}}
 	case 5:
-		return &wire.Command{Id: id, Op: &wire.Command_GrantLease{GrantLease: &wire.GrantLease{Organisation: "org", Router: router, Incarnation: 1, Tokens: tokens, MaxPercent: 40}}}
+		return &wire.Command{Id: id, Op: &wire.Command_GrantLease{GrantLease: &wire.GrantLease{Organisation: "org", Router: router, Incarnation: 1, Tokens: tokens, MaxPercent: 40, Sequence: int64(dispatch)}}}
 	case 6:
 		return &wire.Command{Id: id, Op: &wire.Command_SettleLease{SettleLease: &wire.SettleLease{Organisation: "org", Key: key, Router: router, Incarnation: 1, Tokens: tokens}}}
 	}
-	return &wire.Command{Id: id, Op: &wire.Command_CloseLease{CloseLease: &wire.CloseLease{Organisation: "org", Router: router, Incarnation: 1, Tokens: tokens}}}
+	return &wire.Command{Id: id, Op: &wire.Command_CloseLease{CloseLease: &wire.CloseLease{Organisation: "org", Router: router, Incarnation: 1, Tokens: tokens, Sequence: int64(dispatch)}}}
 }
 
 func requireSameAfterRestore(rt *rapid.T, d *driver, sent []*wire.Command) {
