--- a/conn/tls.go
+++ b/conn/tls.go
@@ -20,6 +20,8 @@
 	CertFile string
 	KeyFile  string
 	CAFile   string
+	// Now returns the time; time.Now if nil.
+	Now func() time.Time
 
 	mu      sync.Mutex
 	read    time.Time
@@ -84,10 +86,14 @@
 func (f *Files) load() (*tls.Certificate, *x509.CertPool, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.cert != nil && time.Since(f.read) < reloadInterval {
+	now := time.Now
+	if f.Now != nil {
+		now = f.Now
+	}
+	if f.cert != nil && now().Sub(f.read) < reloadInterval {
 		return f.cert, f.pool, nil
 	}
-	f.read = time.Now()
+	f.read = now()
 	changed, err := f.newest()
 	if err == nil && (f.cert == nil || !changed.Equal(f.changed)) {
 		err = f.reload(changed)
