--- a/integ/bench_test.go
+++ b/integ/bench_test.go
@@ -1,18 +1,22 @@
 package integ
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/stretchr/testify/require"
 
 	"buckthornpin/app"
+	"buckthornpin/wire"
 )
 
 const (
@@ -195,3 +199,66 @@
 		})
 	}
 }
+
+// BenchmarkOpenStreams reports a router's memory for each open stream.
+func BenchmarkOpenStreams(b *testing.B) {
+	for _, streams := range []int{250, 500, 1000} {
+		b.Run(fmt.Sprint(streams), func(b *testing.B) {
+			s := start(b, plan{controls: 1, routers: 1, engines: 20, direct: true})
+			s.organisation("fleet", 1<<40)
+			for b.Loop() {
+				before := s.usage(s.routers[0])
+				ctx, cancel := context.WithCancel(b.Context())
+				var all sync.WaitGroup
+				for i := range streams {
+					a := ask{org: "fleet", content: fmt.Sprintf("stream %d @tokens=200 @pace_ms=100", i)}
+					all.Go(func() { s.sendCtx(ctx, "router-1", a) })
+				}
+				s.eventually("all streams are open", func() bool { return s.inProgress("router-1") == int64(streams) })
+				time.Sleep(2 * time.Second) // The streams flow.
+				after := s.usage(s.routers[0])
+				b.ReportMetric(float64(after.rssBytes-before.rssBytes)/float64(streams)/1024, "KB/stream")
+				b.ReportMetric(float64(after.rssBytes)/(1<<20), "router-MB")
+				cancel()
+				all.Wait()
+			}
+		})
+	}
+}
+
+// BenchmarkFailover kills the leader again and again and reports how long
+// changes stay out.
+func BenchmarkFailover(b *testing.B) {
+	const kills = 50
+	s := start(b, plan{controls: 3, routers: 1})
+	s.organisation("fleet", 1)
+	out := hdrhistogram.New(1, 1<<32, 3)
+	for b.Loop() {
+		for range kills {
+			l := s.leader()
+			s.kill(l)
+			began := time.Now()
+			s.change(&wire.Command{Op: &wire.Command_TopUp{TopUp: &wire.TopUp{Organisation: "fleet", Tokens: 1}}})
+			require.NoError(b, out.RecordValue(time.Since(began).Microseconds()))
+			s.restart(l)
+			s.eventually("the killed replica follows", func() bool { return s.caughtUp(l) })
+		}
+	}
+	require.Equal(b, int64(1+kills*b.N), s.budget("fleet").GetPaid(), "no acknowledged change is lost or made twice")
+	b.ReportMetric(float64(out.ValueAtQuantile(50))/1000, "p50-ms")
+	b.ReportMetric(float64(out.ValueAtQuantile(99))/1000, "p99-ms")
+	b.ReportMetric(float64(out.Max())/1000, "max-ms")
+}
+
+func (s *site) caughtUp(v *vm) bool {
+	st, err := s.operator(v.name).Status(s.t.Context())
+	return err == nil && st.Replica.Leader != "" && st.Replica.Applied == s.appliedBy(s.leader())
+}
+
+func (s *site) appliedBy(v *vm) uint64 {
+	st, err := s.operator(v.name).Status(s.t.Context())
+	if err != nil {
+		return 0
+	}
+	return st.Replica.Applied
+}
