Watch readers without a goroutine, and shrink the buffers of a stream

Cause, from a heap profile: two HTTP/1.1 connections with four goroutines of about 7 KB of stack each.

--- a/conn/client.go
+++ b/conn/client.go
@@ -22,6 +22,9 @@
 	IdleTimeout = 20 * time.Second
 	// maxIdlePerHost bounds the pooled connections to one host.
 	maxIdlePerHost = 256
+	// externalBuffer is the size of the buffers of a connection to an endpoint,
+	// of which there is one for each open stream.
+	externalBuffer = 1 << 10
 )
 
 // Via is an address that is reached through another one.
@@ -57,6 +60,8 @@
 	t := d.transport()
 	t.Protocols = new(http.Protocols)
 	t.Protocols.SetHTTP1(true)
+	t.ReadBufferSize = externalBuffer
+	t.WriteBufferSize = externalBuffer
 	return &http.Client{Transport: t}
 }
 
--- a/endpt/client.go
+++ b/endpt/client.go
@@ -18,7 +18,7 @@
 
 const (
 	// readBuffer is the size of the buffer of one answer's reader.
-	readBuffer = 4 << 10
+	readBuffer = 1 << 10
 	// cancelTimeout bounds the order to cancel a request.
 	cancelTimeout = 2 * time.Second
 	// maxErrorBytes bounds what is read of an error's body.
--- a/router/flight.go
+++ b/router/flight.go
@@ -15,8 +15,11 @@
 
 // flight is one request in progress in this router.
 type flight struct {
-	router   *Router
-	request  buckthornpin.Request
+	router  *Router
+	request buckthornpin.Request
+	// ctx ends at the request's deadline, or when its caller is gone.
+	ctx      context.Context
+	cancel   context.CancelFunc
 	answer   *stream.Answer
 	id       string
 	dispatch int32
@@ -35,12 +38,8 @@
 
 // run carries the request to its end.
 func (f *flight) run() {
-	ctx, cancel := context.WithDeadline(f.router.ctx, f.request.Deadline)
-	defer cancel()
-	stop := f.watchReaders(cancel)
-	defer stop()
-	refusal := f.carry(ctx)
-	f.end(refusal)
+	defer f.cancel()
+	f.end(f.carry(f.ctx))
 }
 
 // carry reserves, runs and bills the request.
@@ -75,66 +74,29 @@
 	f.answer.End(nil)
 }
 
-// watchReaders ends the request when nobody reads its answer any more. Under a
-// caller's own key the caller has a while to come again.
-func (f *flight) watchReaders(cancel context.CancelFunc) (stop func()) {
-	done := make(chan struct{})
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		f.waitAbandoned(done, cancel)
-	}()
-	return func() {
-		close(done)
-		<-ended
+// abandoned ends the request when nobody reads its answer any more. Under a
+// caller's own key the caller has a while to come again; a non-idempotent
+// request goes on to its end.
+func (f *flight) abandoned() {
+	switch {
+	case f.request.NonIdempotent:
+	case f.request.Fresh:
+		f.callerGone()
+	default:
+		time.AfterFunc(f.router.ReconnectGrace, func() {
+			if f.answer.Readers() == 0 {
+				f.callerGone()
+			}
+		})
 	}
 }
 
-func (f *flight) waitAbandoned(done chan struct{}, cancel context.CancelFunc) {
-	for f.readersLeft(done) {
-		if f.request.NonIdempotent {
-			return
-		}
-		if f.readerComesBack(done) {
-			continue
-		}
-		select {
-		case <-done:
-			return
-		default:
-		}
-		f.router.record(buckthornpin.EventCallerGone, f.request, "", "")
-		cancel()
+func (f *flight) callerGone() {
+	if ended, _ := f.answer.Err(); ended {
 		return
 	}
-}
-
-// readersLeft waits until the answer has no reader; it reports false where the
-// request ended first.
-func (f *flight) readersLeft(done chan struct{}) bool {
-	left := f.answer.Abandoned()
-	if f.answer.Readers() == 0 {
-		return true
-	}
-	select {
-	case <-left:
-		return true
-	case <-done:
-		return false
-	}
-}
-
-// readerComesBack waits for a caller that comes again under its own key.
-func (f *flight) readerComesBack(done chan struct{}) bool {
-	if !f.request.Fresh {
-		timer := time.NewTimer(f.router.ReconnectGrace)
-		defer timer.Stop()
-		select {
-		case <-timer.C:
-		case <-done:
-		}
-	}
-	return f.answer.Readers() > 0
+	f.router.record(buckthornpin.EventCallerGone, f.request, "", "")
+	f.cancel()
 }
 
 // runAttempts runs the request until the answer is whole.
--- a/router/router.go
+++ b/router/router.go
@@ -141,7 +141,9 @@
 	if a, digest := r.kept.Lookup(req.Key); a != nil {
 		return r.join(digest, a, req, offset)
 	}
-	f := &flight{router: r, request: req, answer: &stream.Answer{Keep: !req.Fresh}, id: uuid.NewString()}
+	f := &flight{router: r, request: req, id: uuid.NewString()}
+	f.ctx, f.cancel = context.WithDeadline(r.ctx, req.Deadline)
+	f.answer = &stream.Answer{Keep: !req.Fresh, Abandoned: f.abandoned}
 	reader := f.answer.Read(offset)
 	r.flights[req.Key] = f
 	r.open.Add(1)
--- a/stream/answer.go
+++ b/stream/answer.go
@@ -14,7 +14,7 @@
 var ErrTick = errors.New("no frame came before the tick")
 
 // slabBytes is the size of the blocks that frames are copied into.
-const slabBytes = 4 << 10
+const slabBytes = 1 << 10
 
 // Frame is one event of an answer as a caller gets it.
 type Frame struct {
@@ -27,6 +27,8 @@
 type Answer struct {
 	// Keep holds all frames, so that readers can start at any offset.
 	Keep bool
+	// Abandoned is called when the last reader leaves before the end.
+	Abandoned func()
 
 	mu      sync.Mutex
 	frames  []Frame
@@ -36,7 +38,6 @@
 	ended   bool
 	err     error
 	readers map[*Reader]bool
-	left    chan struct{}
 }
 
 // Append adds a frame; data is copied.
@@ -97,17 +98,6 @@
 	return r
 }
 
-// Abandoned returns a channel that is closed when the last reader leaves; the
-// answer must have a reader at the call.
-func (a *Answer) Abandoned() <-chan struct{} {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.left == nil {
-		a.left = make(chan struct{})
-	}
-	return a.left
-}
-
 // Readers counts the readers.
 func (a *Answer) Readers() int {
 	a.mu.Lock()
@@ -189,10 +179,10 @@
 func (r *Reader) Close() {
 	a := r.answer
 	a.mu.Lock()
-	defer a.mu.Unlock()
 	delete(a.readers, r)
-	if len(a.readers) == 0 && a.left != nil {
-		close(a.left)
-		a.left = nil
+	abandoned := len(a.readers) == 0 && !a.ended && a.Abandoned != nil
+	a.mu.Unlock()
+	if abandoned {
+		a.Abandoned()
 	}
 }
