--- a/app/run.go
+++ b/app/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"log"
 	"net"
 	"net/http"
 	"os"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
 
 	"buckthornpin"
 	"buckthornpin/config"
@@ -153,17 +155,23 @@
 func (p *Process) serve(name string, l net.Listener, h http.Handler, t *tls.Config, maxConnections int) part {
 	s := &conn.Server{
 		Listener: l, Handler: h, TLS: t, MaxConnections: maxConnections,
-		MaxHeaderBytes: p.Settings.Caller.MaxHeaderBytes, DrainTimeout: stopTimeout,
+		MaxHeaderBytes: p.Settings.Caller.MaxHeaderBytes, DrainTimeout: stopTimeout, ErrorLog: p.errorLog(name),
 	}
 	return part{name, s.Run}
 }
 
 // serveInternal serves our own processes, with certificates on both sides.
 func (p *Process) serveInternal(name string, l net.Listener, h http.Handler) part {
-	s := &conn.Server{Listener: p.traffic.Listener(l), Handler: h, TLS: p.serverTLS(true), DrainTimeout: internalStopTimeout, Internal: true}
+	s := &conn.Server{Listener: p.traffic.Listener(l), Handler: h, TLS: p.serverTLS(true), DrainTimeout: internalStopTimeout, Internal: true, ErrorLog: p.errorLog(name)}
 	return part{name, s.Run}
 }
 
+// errorLog turns what the HTTP servers say into JSON lines.
+func (p *Process) errorLog(name string) *log.Logger {
+	l := p.Log.With().Str("server", name).Str("level", zerolog.LevelWarnValue).Logger()
+	return log.New(l, "", 0)
+}
+
 func readSecret(path string) (string, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
--- a/conn/server.go
+++ b/conn/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"log"
 	"net"
 	"net/http"
 	"time"
@@ -37,12 +38,15 @@
 	DrainTimeout time.Duration
 	// Internal allows HTTP/2 without TLS.
 	Internal bool
+	// ErrorLog takes what goes wrong on connections; the standard log if nil.
+	ErrorLog *log.Logger
 }
 
 // Run serves until ctx ends and the requests in progress have ended.
 func (s *Server) Run(ctx context.Context) error {
 	srv := &http.Server{
 		Handler:           s.Handler,
+		ErrorLog:          s.ErrorLog,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       keptOpen,
 		MaxHeaderBytes:    s.MaxHeaderBytes,
