--- /dev/null
+++ b/budget/purse_test.go
@@ -0,0 +1,151 @@
+package budget
+
+import (
+	"context"
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"buckthornpin"
+	"buckthornpin/wire"
+)
+
+// TestMain fixes the seed, so that each run gives the same verdict.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "20261203"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+type nothing struct{}
+
+func (nothing) Record(buckthornpin.Event) {}
+
+// fakeControl expects commands in order and answers each with a result, or with
+// no answer where the result is nil.
+type fakeControl struct {
+	t        *testing.T
+	expected []expectation
+}
+
+type expectation struct {
+	check  func(t *testing.T, c *wire.Command)
+	result *wire.Result
+}
+
+func (f *fakeControl) Execute(_ context.Context, c *wire.Command) (*wire.Result, error) {
+	require.NotEmpty(f.t, f.expected, "unexpected command %v", c)
+	e := f.expected[0]
+	f.expected = f.expected[1:]
+	e.check(f.t, c)
+	if e.result == nil {
+		return nil, context.DeadlineExceeded
+	}
+	return e.result, nil
+}
+
+func (f *fakeControl) expect(check func(t *testing.T, c *wire.Command), result *wire.Result) {
+	f.expected = append(f.expected, expectation{check: check, result: result})
+}
+
+func newPurse(t *testing.T) (*Purse, *fakeControl) {
+	t.Helper()
+	f := &fakeControl{t: t}
+	t.Cleanup(func() { require.Empty(t, f.expected, "commands that were not sent") })
+	p := &Purse{
+		Control: f, Router: "vm-1", Incarnation: func() int64 { return 1 }, Heard: time.Now,
+		Recalled: func(string) bool { return false }, Policy: policy, Percent: 10, Events: nothing{}, Log: zerolog.Nop(),
+	}
+	p.Open()
+	return p, f
+}
+
+func granted(tokens int64) *wire.Result {
+	return &wire.Result{Kind: wire.ResultKind_RESULT_KIND_OK, Tokens: tokens}
+}
+
+func isGrant(sequence, tokens int64) func(*testing.T, *wire.Command) {
+	return func(t *testing.T, c *wire.Command) {
+		t.Helper()
+		require.Equal(t, sequence, c.GetGrantLease().GetSequence())
+		require.Equal(t, tokens, c.GetGrantLease().GetTokens())
+	}
+}
+
+func step(t *testing.T, p *Purse) {
+	t.Helper()
+	p.changeAll(t.Context(), p.plan(time.Now()))
+}
+
+func TestLeaseFollowsDemand(t *testing.T) {
+	p, control := newPurse(t)
+	require.False(t, p.Take("org", 100), "there is no lease yet")
+	p.leases["org"].taken = 0
+	control.expect(isGrant(1, 400), granted(400))
+	step(t, p)
+	require.True(t, p.Take("org", 100))
+	require.True(t, p.Take("org", 300))
+	require.False(t, p.Take("org", 1), "a lease can't be spent twice")
+}
+
+func TestGrantWithoutReplyIsSentAgainUnderItsNumber(t *testing.T) {
+	p, control := newPurse(t)
+	p.Take("org", 100)
+	p.leases["org"].taken = 0
+	control.expect(isGrant(1, 400), nil)
+	step(t, p)
+	require.False(t, p.Take("org", 100), "nothing is spent before the reply")
+	p.leases["org"].taken = 0
+	control.expect(isGrant(1, 400), granted(400))
+	step(t, p)
+	require.True(t, p.Take("org", 100))
+}
+
+func TestRecalledLeaseGoesBack(t *testing.T) {
+	p, control := newPurse(t)
+	p.Take("org", 100)
+	p.leases["org"].taken = 0
+	control.expect(isGrant(1, 400), granted(400))
+	step(t, p)
+	p.Recalled = func(string) bool { return true }
+	control.expect(func(t *testing.T, c *wire.Command) {
+		require.Equal(t, int64(400), c.GetCloseLease().GetTokens())
+		require.Equal(t, int64(2), c.GetCloseLease().GetSequence())
+	}, granted(400))
+	step(t, p)
+	require.False(t, p.Take("org", 1))
+}
+
+func TestSpendingsAreReportedUntilBooked(t *testing.T) {
+	p, control := newPurse(t)
+	k := buckthornpin.RequestKey{Organisation: "org", Key: "k"}
+	p.Spend(k, 60)
+	isReport := func(t *testing.T, c *wire.Command) { require.Equal(t, int64(60), c.GetSettleLease().GetTokens()) }
+	control.expect(isReport, nil)
+	p.report(t.Context())
+	require.Equal(t, 1, p.Unreported())
+	control.expect(isReport, granted(60))
+	p.report(t.Context())
+	require.Zero(t, p.Unreported())
+}
+
+func TestLaterCommandsKeepTheirOrder(t *testing.T) {
+	p, control := newPurse(t)
+	first := &wire.Command{Id: "first"}
+	second := &wire.Command{Id: "second"}
+	p.Later(first)
+	p.Later(second)
+	is := func(id string) func(*testing.T, *wire.Command) {
+		return func(t *testing.T, c *wire.Command) { require.Equal(t, id, c.GetId()) }
+	}
+	control.expect(is("first"), nil)
+	p.sendLater(t.Context())
+	control.expect(is("first"), granted(0))
+	control.expect(is("second"), granted(0))
+	p.sendLater(t.Context())
+}
