Give a retry the answer of the router that has it, in progress or kept

Cause: a caller that came again through another router got 409, though its answer was on its way or kept beside the first router: whole answers were out of reach of their callers (found by reading). A router now copies the answer from the holder; the bill stays the holder's. Also: a request that came between the last look at the drain and its end could be cut off; a draining router begins none.

--- a/app/process.go
+++ b/app/process.go
@@ -232,6 +232,7 @@
 		},
 	}
 	p.gossip.HoldsKey = p.router.Holds
+	p.gossip.Answer = p.router.Answer
 	p.callers = &caller.Server{
 		Accounts: p.mirror, Router: p.router, Models: p.directory, Events: p.line, MaxBodyBytes: s.Caller.MaxBodyBytes,
 		DefaultDeadline: time.Duration(s.Caller.DefaultDeadline), KeepAlive: time.Duration(s.Caller.KeepAlive),
--- a/app/run.go
+++ b/app/run.go
@@ -84,7 +84,7 @@
 	p.refusing.Store(true)
 	done := make(chan struct{})
 	go func() {
-		p.router.Wait()
+		p.router.Drain()
 		close(done)
 	}()
 	select {
--- a/ledger/reservation.go
+++ b/ledger/reservation.go
@@ -67,7 +67,7 @@
 	}
 	switch s.GetPhase() {
 	case phaseSettled:
-		return &wire.Result{Kind: wire.ResultKind_RESULT_KIND_ALREADY_RAN, Tokens: s.GetTokens(), Message: "request was billed before"}
+		return &wire.Result{Kind: wire.ResultKind_RESULT_KIND_ALREADY_RAN, Tokens: s.GetTokens(), Router: s.GetRouter(), Message: "request was billed before"}
 	case phaseTombstone:
 		return l.reserveAfterTombstone(id, o, k, r, c)
 	case phaseReleased:
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 
 	"buckthornpin"
+	"buckthornpin/stream"
 	"buckthornpin/wire"
 )
 
@@ -40,6 +41,8 @@
 	Peers func() []string
 	// HoldsKey reports whether this router works on a key.
 	HoldsKey func(k buckthornpin.RequestKey) bool
+	// Answer returns a reader of this router's answer under a key, or nil.
+	Answer func(k buckthornpin.RequestKey, digest string, offset int) *stream.Reader
 	// PeerOf returns the address of a router by its VM, or "".
 	PeerOf func(vm string) string
 
--- a/router/billing.go
+++ b/router/billing.go
@@ -40,6 +40,7 @@
 		return refusal
 	}
 	if res.GetKind() != wire.ResultKind_RESULT_KIND_OK {
+		f.holder = res.GetRouter()
 		return f.refusedBy(res)
 	}
 	f.dispatch = res.GetDispatch()
--- a/router/flight.go
+++ b/router/flight.go
@@ -23,6 +23,8 @@
 	answer   *stream.Answer
 	id       string
 	dispatch int32
+	// holder is the router that has the key's answer, in progress or kept.
+	holder string
 	// admission says how the cost is covered.
 	admission *admission
 	// delivered counts the output tokens in the answer so far.
@@ -49,7 +51,7 @@
 	f.admit(ctx, cancel)
 	refusal := f.runAttempts(runCtx)
 	if refused := f.admitted(); refused != nil {
-		return refused
+		return f.fromHolder(ctx, refused)
 	}
 	if refusal != nil {
 		return f.giveUp(refusal)
@@ -57,6 +59,25 @@
 	return f.settle(true)
 }
 
+// fromHolder gives the caller the answer of the router that works on the key, or
+// has worked on it. The bill is that router's.
+func (f *flight) fromHolder(ctx context.Context, refused *buckthornpin.Refusal) *buckthornpin.Refusal {
+	if f.holder == "" || f.holder == f.router.VM {
+		return refused
+	}
+	err := f.router.Holders.CopyAnswer(ctx, f.holder, f.request.Key, f.request.Digest, func(frame stream.Frame) {
+		f.delivered = frame.To
+		f.answer.Append(frame.To, frame.Data)
+	})
+	if err != nil && f.delivered > 0 {
+		return unknown(CodeBroken, "the answer of another router broke", retrySoon)
+	}
+	if err != nil {
+		return refused
+	}
+	return nil
+}
+
 // end gives the final answer at once.
 func (f *flight) end(refusal *buckthornpin.Refusal) {
 	r := f.router
--- a/router/router.go
+++ b/router/router.go
@@ -37,6 +37,9 @@
 	// AskHolds reports whether the router works on the key; an error says that it
 	// can't be reached.
 	AskHolds(ctx context.Context, router string, k buckthornpin.RequestKey) (bool, error)
+	// CopyAnswer copies another router's answer to take; nil says that it was
+	// whole.
+	CopyAnswer(ctx context.Context, router string, k buckthornpin.RequestKey, digest string, take func(f stream.Frame)) error
 }
 
 // Router serves requests. Its exported fields are set before Open.
@@ -76,6 +79,8 @@
 	mu      sync.Mutex
 	flights map[buckthornpin.RequestKey]*flight
 	kept    *stream.Store
+	// closed says that no request is begun any more.
+	closed  bool
 	running sync.WaitGroup
 	open    atomic.Int64
 	metrics routerMetrics
@@ -101,8 +106,27 @@
 	}
 }
 
-// Wait waits until no request is in progress.
-func (r *Router) Wait() { r.running.Wait() }
+// Drain begins no more requests and waits until none is in progress.
+func (r *Router) Drain() {
+	r.mu.Lock()
+	r.closed = true
+	r.mu.Unlock()
+	r.running.Wait()
+}
+
+// Answer returns a reader of the answer under a key, in progress or kept; nil
+// where there is none.
+func (r *Router) Answer(k buckthornpin.RequestKey, digest string, offset int) *stream.Reader {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if f := r.flights[k]; f != nil && f.request.Digest == digest {
+		return f.answer.Read(offset)
+	}
+	if a, d := r.kept.Lookup(k); a != nil && d == digest {
+		return a.Read(offset)
+	}
+	return nil
+}
 
 // Holds reports whether the router works on the key.
 func (r *Router) Holds(k buckthornpin.RequestKey) bool {
@@ -141,6 +165,9 @@
 	if a, digest := r.kept.Lookup(req.Key); a != nil {
 		return r.join(digest, a, req, offset)
 	}
+	if r.closed {
+		return nil, Refuse(http.StatusServiceUnavailable, CodeDraining, "this router is stopping", req.Fresh, retrySoon)
+	}
 	f := &flight{router: r, request: req, id: uuid.NewString()}
 	f.ctx, f.cancel = context.WithDeadline(r.ctx, req.Deadline)
 	f.answer = &stream.Answer{Keep: !req.Fresh, Abandoned: f.abandoned}
--- a/wire/wire.connect.go
+++ b/wire/wire.connect.go
@@ -49,6 +49,8 @@
 	ControlChangeMembersProcedure = "/buckthornpin.wire.Control/ChangeMembers"
 	// PeersHoldsProcedure is the fully-qualified name of the Peers's Holds RPC.
 	PeersHoldsProcedure = "/buckthornpin.wire.Peers/Holds"
+	// PeersAttachProcedure is the fully-qualified name of the Peers's Attach RPC.
+	PeersAttachProcedure = "/buckthornpin.wire.Peers/Attach"
 	// PeersExchangeProcedure is the fully-qualified name of the Peers's Exchange RPC.
 	PeersExchangeProcedure = "/buckthornpin.wire.Peers/Exchange"
 )
@@ -290,6 +292,7 @@
 // PeersClient is a client for the buckthornpin.wire.Peers service.
 type PeersClient interface {
 	Holds(context.Context, *HoldsRequest) (*HoldsReply, error)
+	Attach(context.Context, *AttachRequest) (*connect.ServerStreamForClient[AttachReply], error)
 	Exchange(context.Context, *ExchangeRequest) (*ExchangeReply, error)
 }
 
@@ -310,6 +313,12 @@
 			connect.WithSchema(peersMethods.ByName("Holds")),
 			connect.WithClientOptions(opts...),
 		),
+		attach: connect.NewClient[AttachRequest, AttachReply](
+			httpClient,
+			baseURL+PeersAttachProcedure,
+			connect.WithSchema(peersMethods.ByName("Attach")),
+			connect.WithClientOptions(opts...),
+		),
 		exchange: connect.NewClient[ExchangeRequest, ExchangeReply](
 			httpClient,
 			baseURL+PeersExchangeProcedure,
@@ -322,6 +331,7 @@
 // peersClient implements PeersClient.
 type peersClient struct {
 	holds    *connect.Client[HoldsRequest, HoldsReply]
+	attach   *connect.Client[AttachRequest, AttachReply]
 	exchange *connect.Client[ExchangeRequest, ExchangeReply]
 }
 
@@ -334,6 +344,11 @@
 	return nil, err
 }
 
+// Attach calls buckthornpin.wire.Peers.Attach.
+func (c *peersClient) Attach(ctx context.Context, req *AttachRequest) (*connect.ServerStreamForClient[AttachReply], error) {
+	return c.attach.CallServerStream(ctx, connect.NewRequest(req))
+}
+
 // Exchange calls buckthornpin.wire.Peers.Exchange.
 func (c *peersClient) Exchange(ctx context.Context, req *ExchangeRequest) (*ExchangeReply, error) {
 	response, err := c.exchange.CallUnary(ctx, connect.NewRequest(req))
@@ -346,6 +361,7 @@
 // PeersHandler is an implementation of the buckthornpin.wire.Peers service.
 type PeersHandler interface {
 	Holds(context.Context, *HoldsRequest) (*HoldsReply, error)
+	Attach(context.Context, *AttachRequest, *connect.ServerStream[AttachReply]) error
 	Exchange(context.Context, *ExchangeRequest) (*ExchangeReply, error)
 }
 
@@ -362,6 +378,12 @@
 		connect.WithSchema(peersMethods.ByName("Holds")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peersAttachHandler := connect.NewServerStreamHandlerSimple(
+		PeersAttachProcedure,
+		svc.Attach,
+		connect.WithSchema(peersMethods.ByName("Attach")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peersExchangeHandler := connect.NewUnaryHandlerSimple(
 		PeersExchangeProcedure,
 		svc.Exchange,
@@ -372,6 +394,8 @@
 		switch r.URL.Path {
 		case PeersHoldsProcedure:
 			peersHoldsHandler.ServeHTTP(w, r)
+		case PeersAttachProcedure:
+			peersAttachHandler.ServeHTTP(w, r)
 		case PeersExchangeProcedure:
 			peersExchangeHandler.ServeHTTP(w, r)
 		default:
@@ -387,6 +411,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("buckthornpin.wire.Peers.Holds is not implemented"))
 }
 
+func (UnimplementedPeersHandler) Attach(context.Context, *AttachRequest, *connect.ServerStream[AttachReply]) error {
+	return connect.NewError(connect.CodeUnimplemented, errors.New("buckthornpin.wire.Peers.Attach is not implemented"))
+}
+
 func (UnimplementedPeersHandler) Exchange(context.Context, *ExchangeRequest) (*ExchangeReply, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("buckthornpin.wire.Peers.Exchange is not implemented"))
 }
