--- a/budget/purse_test.go
+++ b/budget/purse_test.go
@@ -109,15 +109,15 @@
 
 func TestRecalledLeaseGoesBack(t *testing.T) {
 	p, control := newPurse(t)
-	p.Take("org", 100)
+	p.Take("org", 50)
 	p.leases["org"].taken = 0
-	control.expect(isFirstGrant(400), granted(400))
+	control.expect(isFirstGrant(200), granted(200))
 	step(t, p)
 	p.Recalled = func(string) bool { return true }
 	control.expect(func(t *testing.T, c *wire.Command) {
-		require.Equal(t, int64(400), c.GetCloseLease().GetTokens())
+		require.Equal(t, int64(200), c.GetCloseLease().GetTokens())
 		require.Equal(t, int64(2), c.GetCloseLease().GetSequence())
-	}, granted(400))
+	}, granted(200))
 	step(t, p)
 	require.False(t, p.Take("org", 1))
 }
