--- a/integ/endpoint_failure_test.go
+++ b/integ/endpoint_failure_test.go
@@ -1,11 +1,14 @@
 package integ
 
 import (
+	"encoding/json"
 	"net/http"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"buckthornpin/stand"
 )
 
 // TestBrokenAnswersAreRepaired: engines break answers in many ways; the caller
@@ -122,6 +125,42 @@
 	s.requireBill("cafe", 1)
 }
 
+// TestBrokenServiceCallRunsOnce: a service runs a non-idempotent call and its
+// connection breaks before the answer. Another service could take the call, but
+// it isn't sent there, nor by a retry through another router.
+func TestBrokenServiceCallRunsOnce(t *testing.T) {
+	s := start(t, plan{controls: 1, routers: 2, services: 2, direct: true})
+	s.organisation("cafe", 1000)
+	a := ask{org: "cafe", key: "form-1", path: "/services/permits/apply", content: "form @break", once: true}
+	r := s.send("router-1", a)
+	require.Equal(t, "unknown", r.outcome, r.text)
+	again := s.send("router-2", a)
+	require.Equal(t, "already_ran", again.code, again.text)
+	require.Equal(t, 1, s.runs(a.content))
+	s.requireBill("cafe", 1)
+
+	t.Run("an idempotent call is sent again", func(t *testing.T) {
+		idempotent := ask{org: "cafe", key: "form-2", path: "/services/permits/apply", content: "lookup @break"}
+		require.NotEqual(t, http.StatusOK, s.send("router-1", idempotent).status)
+		require.Greater(t, s.runs(idempotent.content), 1)
+	})
+}
+
+// runs counts how often the stand-in services ran a body.
+func (s *site) runs(body string) int {
+	s.t.Helper()
+	n := 0
+	for _, e := range s.engines {
+		res, err := callerHTTP.Get("http://" + argument(e.args, "-address") + stand.RunsPath)
+		require.NoError(s.t, err)
+		var runs map[string]int
+		require.NoError(s.t, json.NewDecoder(res.Body).Decode(&runs))
+		require.NoError(s.t, res.Body.Close())
+		n += runs[body]
+	}
+	return n
+}
+
 // TestNoEndpointIsNotRun: without an endpoint the call is refused, and the
 // refusal holds: the key can't run under the same attempt number later.
 func TestNoEndpointIsNotRun(t *testing.T) {
--- a/stand/endpoint.go
+++ b/stand/endpoint.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,8 +28,14 @@
 	drainTimeout = time.Minute
 	// maxBodyBytes bounds a request's body.
 	maxBodyBytes = 16 << 20
+	// serviceBreak in the body of a call to a plain service breaks the connection
+	// after the call has run.
+	serviceBreak = "@break"
 )
 
+// RunsPath serves how often a stand-in service ran each body, as JSON.
+const RunsPath = "/standin/runs"
+
 // Endpoint is a stand-in endpoint. Its exported fields are set before Run.
 type Endpoint struct {
 	ID       string
@@ -97,8 +104,7 @@
 // Generated counts the output tokens that were generated.
 func (e *Endpoint) Generated() int64 { return e.generated.Load() }
 
-// Runs counts the runs of a plain service's request by its name towards the
-// endpoint.
+// Runs counts the runs of a plain service's calls by their bodies.
 func (e *Endpoint) Runs() map[string]int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -116,6 +122,8 @@
 		w.WriteHeader(http.StatusUnauthorized)
 	case r.Method == http.MethodDelete:
 		e.cancel(w, r)
+	case r.URL.Path == RunsPath:
+		_ = json.NewEncoder(w).Encode(e.Runs())
 	case e.leaving.Load():
 		notRun(w, endpt.LeavingHeader)
 	case e.running.Add(1) > int64(e.Capacity):
@@ -162,6 +170,9 @@
 	e.runs[string(body)]++
 	n := e.runs[string(body)]
 	e.mu.Unlock()
+	if strings.Contains(string(body), serviceBreak) {
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(serviceAnswer{Service: r.URL.Path, Request: id, Bytes: len(body), Run: n})
 }
