--- a/app/process.go
+++ b/app/process.go
@@ -118,6 +118,7 @@
 	p.files = &conn.Files{CertFile: t.CertFile, KeyFile: t.KeyFile, CAFile: t.CAFile}
 	var err error
 	p.dialer.TLS, err = p.files.Client()
+	p.metrics.Set("unauthorised_processes", p.files.Refused())
 	return err
 }
 
@@ -292,7 +293,7 @@
 	var out []oper.EndpointStatus
 	for _, e := range p.directory.Endpoints() {
 		out = append(out, oper.EndpointStatus{
-			Endpoint: e.ID, Zone: e.Zone, Models: e.Models, Services: e.Services,
+			Endpoint: e.ID, Zone: e.Zone, Models: e.Models, Adapters: e.Adapters, Services: e.Services,
 			Capacity: e.Capacity, Leaving: e.Leaving, Dead: e.Dead, Watched: !e.SeenAt.IsZero(),
 		})
 	}
--- a/app/standin_command.go
+++ b/app/standin_command.go
@@ -17,9 +17,9 @@
 // standinCommand runs a stand-in endpoint.
 type standinCommand struct {
 	*Shell
-	id, zone, address, advertise, routers, models, services, secretFile string
-	capacity                                                            int
-	pace                                                                time.Duration
+	id, zone, address, advertise, routers, models, adapters, services, secretFile string
+	capacity                                                                      int
+	pace                                                                          time.Duration
 }
 
 // Name implements subcommands.Command.
@@ -49,6 +49,7 @@
 	f.StringVar(&c.advertise, "advertise", "", "IP:PORT to announce; -address if empty")
 	f.StringVar(&c.routers, "routers", "", "routers to announce to")
 	f.StringVar(&c.models, "models", "", "models, comma separated")
+	f.StringVar(&c.adapters, "adapters", "", "adapters, comma separated")
 	f.StringVar(&c.services, "services", "", "plain services, comma separated")
 	f.StringVar(&c.secretFile, "secret-file", "", "file with the secret shared with routers")
 	f.IntVar(&c.capacity, "capacity", 64, "requests that run at once")
@@ -73,7 +74,7 @@
 		return c.fail(ExitFailed, err)
 	}
 	e := &stand.Endpoint{
-		ID: c.id, Zone: c.zone, Models: list(c.models), Services: list(c.services), Capacity: c.capacity, Pace: c.pace,
+		ID: c.id, Zone: c.zone, Models: list(c.models), Adapters: list(c.adapters), Services: list(c.services), Capacity: c.capacity, Pace: c.pace,
 		Routers: list(c.routers), Secret: secret, Listener: l, Advertise: c.advertise, Crash: func() { os.Exit(int(ExitFailed)) },
 	}
 	_, _ = fmt.Fprintf(c.Out, "%s serves on %s\n", c.id, l.Addr())
--- a/app/tls_test.go
+++ b/app/tls_test.go
@@ -120,6 +120,9 @@
 		_, err = c.Exchange(t.Context(), &wire.ExchangeRequest{})
 		require.Error(t, err)
 	})
+	t.Run("refused calls are counted", func(t *testing.T) {
+		require.Positive(t, router.files.Refused().Value())
+	})
 }
 
 // TestChangedCertificateIsReloaded: new files take effect with new connections,
--- a/conn/tls.go
+++ b/conn/tls.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
+	"expvar"
 	"os"
 	"sync"
 	"time"
@@ -23,6 +24,7 @@
 	// Now returns the time; time.Now if nil.
 	Now func() time.Time
 
+	refused expvar.Int
 	mu      sync.Mutex
 	read    time.Time
 	cert    *tls.Certificate
@@ -43,8 +45,9 @@
 			}
 			cfg := &tls.Config{MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{*cert}, NextProtos: []string{"h2", "http/1.1"}}
 			if mutual {
-				cfg.ClientAuth = tls.RequireAndVerifyClientCert
+				cfg.ClientAuth = tls.RequestClientCert
 				cfg.ClientCAs = pool
+				cfg.VerifyConnection = f.verifyClient
 			}
 			return cfg, nil
 		},
@@ -68,16 +71,42 @@
 	}, nil
 }
 
-func (f *Files) verify(s tls.ConnectionState) error {
+// Refused counts the clients without a certificate of the shared authority.
+func (f *Files) Refused() *expvar.Int { return &f.refused }
+
+// verifyClient refuses and counts clients without a valid certificate.
+func (f *Files) verifyClient(s tls.ConnectionState) error {
+	if len(s.PeerCertificates) == 0 {
+		f.refused.Add(1)
+		return errors.New("client shows no certificate")
+	}
 	_, pool, err := f.load()
 	if err != nil {
 		return err
 	}
-	opts := x509.VerifyOptions{Roots: pool, DNSName: s.ServerName, Intermediates: x509.NewCertPool()}
+	_, err = s.PeerCertificates[0].Verify(x509.VerifyOptions{
+		Roots: pool, Intermediates: intermediates(s), KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth},
+	})
+	if err != nil {
+		f.refused.Add(1)
+	}
+	return err
+}
+
+func intermediates(s tls.ConnectionState) *x509.CertPool {
+	pool := x509.NewCertPool()
 	for _, c := range s.PeerCertificates[1:] {
-		opts.Intermediates.AddCert(c)
+		pool.AddCert(c)
+	}
+	return pool
+}
+
+func (f *Files) verify(s tls.ConnectionState) error {
+	_, pool, err := f.load()
+	if err != nil {
+		return err
 	}
-	_, err = s.PeerCertificates[0].Verify(opts)
+	_, err = s.PeerCertificates[0].Verify(x509.VerifyOptions{Roots: pool, DNSName: s.ServerName, Intermediates: intermediates(s)})
 	return err
 }
 
--- /dev/null
+++ b/ctrl/apply.go
@@ -0,0 +1,90 @@
+package ctrl
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"buckthornpin"
+	"buckthornpin/ledger"
+	"buckthornpin/quorum"
+	"buckthornpin/wire"
+)
+
+func (r *Replica) apply(e *wire.Entry) error {
+	batch := &wire.CommandBatch{}
+	if err := proto.Unmarshal(e.GetData(), batch); err != nil {
+		return &ledger.Error{Op: "apply", Kind: ledger.KindCorrupt, Err: err}
+	}
+	results := r.applyBatch(e.GetIndex(), batch)
+	if r.CheckEach {
+		if err := r.ledger.Check(); err != nil {
+			return err
+		}
+	}
+	g := r.waiting[e.GetIndex()]
+	delete(r.waiting, e.GetIndex())
+	if g != nil {
+		g.finish(e.GetTerm(), results)
+	}
+	return nil
+}
+
+func (r *Replica) applyBatch(index uint64, b *wire.CommandBatch) []*wire.Result {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	before := r.ledger.Revision()
+	results := make([]*wire.Result, 0, len(b.GetCommands()))
+	for _, c := range b.GetCommands() {
+		results = append(results, r.ledger.Apply(c))
+	}
+	r.metrics.commands.Add(int64(len(results)))
+	r.applied = index
+	if r.ledger.Revision() != before {
+		r.wake()
+	}
+	return results
+}
+
+// wake tells those who wait for a newer revision. The caller holds mu.
+func (r *Replica) wake() {
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// snapshotIfLarge runs between two rounds of work, when all that the files hold
+// is known to the node as durable.
+func (r *Replica) snapshotIfLarge() error {
+	if r.Folder.LogBytes() < r.SnapshotBytes || r.node.Applied() != r.applied {
+		return nil
+	}
+	data, err := r.ledger.Snapshot()
+	if err != nil {
+		return err
+	}
+	term, members := r.node.TermAt(r.applied)
+	s := &wire.Snapshot{Index: r.applied, Term: term, Members: members, Data: data}
+	if err := r.node.Compact(r.applied); err != nil {
+		return err
+	}
+	h, rest := r.node.Unsnapshotted()
+	if err := r.Folder.SaveSnapshot(s, h, rest); err != nil {
+		return err
+	}
+	r.Events.Record(buckthornpin.Event{Kind: buckthornpin.EventSnapshot})
+	return nil
+}
+
+func (r *Replica) installSnapshot(ready quorum.Ready) error {
+	l, err := restoreLedger(ready.Snapshot)
+	if err != nil {
+		return err
+	}
+	if err := r.Folder.SaveSnapshot(ready.Snapshot, ready.HardState, ready.Entries); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ledger = l
+	r.applied = ready.Snapshot.GetIndex()
+	r.wake()
+	return nil
+}
--- a/ctrl/mirror.go
+++ b/ctrl/mirror.go
@@ -182,11 +182,6 @@
 	return m.addresses(func(_ string, r *wire.RouterState) string { return r.GetEndptAddress() })
 }
 
-// OperAddresses returns the addresses on which routers serve operators.
-func (m *Mirror) OperAddresses() []string {
-	return m.addresses(func(_ string, r *wire.RouterState) string { return r.GetOperAddress() })
-}
-
 func (m *Mirror) addresses(of func(vm string, r *wire.RouterState) string) []string {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
--- a/ctrl/stamper.go
+++ b/ctrl/stamper.go
@@ -1,19 +1,14 @@
 package ctrl
 
-import (
-	"expvar"
-	"time"
-)
+import "time"
 
 // stamper gives the ledger's time: it goes on from the newest time in the
 // ledger at the speed of the leader's monotonic clock, so that a jump of a wall
 // clock neither ends reservations early nor keeps them.
 type stamper struct {
-	term      uint64
-	startMS   int64
-	started   time.Time
-	savedTerm uint64
-	savedVote string
+	term    uint64
+	startMS int64
+	started time.Time
 }
 
 // next returns the time for a command proposed in the given term.
@@ -28,19 +23,3 @@
 	}
 	return s.startMS + time.Since(s.started).Milliseconds()
 }
-
-// replicaMetrics counts the replica's work since it started.
-type replicaMetrics struct {
-	commands expvar.Int
-	entries  expvar.Int
-	syncs    expvar.Int
-}
-
-// Metrics returns the replica's counters.
-func (r *Replica) Metrics() *expvar.Map {
-	m := new(expvar.Map)
-	m.Set("commands", &r.metrics.commands)
-	m.Set("entries", &r.metrics.entries)
-	m.Set("syncs", &r.metrics.syncs)
-	return m
-}
--- a/endpoint.go
+++ b/endpoint.go
@@ -8,10 +8,12 @@
 // Endpoint is one announced model engine or plain service. It is immutable;
 // the With methods return changed copies.
 type Endpoint struct {
-	ID          string
-	Address     string
-	Zone        string
-	Models      []string
+	ID      string
+	Address string
+	Zone    string
+	Models  []string
+	// Adapters are the adapters that an engine has loaded.
+	Adapters    []string
 	Services    []string
 	Capacity    int
 	Incarnation int64
@@ -52,7 +54,7 @@
 func (e Endpoint) SameNews(o Endpoint) bool {
 	return e.Incarnation == o.Incarnation && e.Leaving == o.Leaving && e.Dead == o.Dead &&
 		e.Address == o.Address && e.Zone == o.Zone && e.Capacity == o.Capacity &&
-		slices.Equal(e.Models, o.Models) && slices.Equal(e.Services, o.Services)
+		slices.Equal(e.Models, o.Models) && slices.Equal(e.Adapters, o.Adapters) && slices.Equal(e.Services, o.Services)
 }
 
 // Serves reports whether the endpoint offers the target.
--- a/endpt/announce.go
+++ b/endpt/announce.go
@@ -90,7 +90,7 @@
 
 func (m Announcement) endpoint(now time.Time) buckthornpin.Endpoint {
 	return buckthornpin.Endpoint{
-		ID: m.Endpoint, Address: m.Address, Zone: m.Zone, Models: m.Models, Services: m.Services,
+		ID: m.Endpoint, Address: m.Address, Zone: m.Zone, Models: m.Models, Adapters: m.Adapters, Services: m.Services,
 		Capacity: m.Capacity, Incarnation: m.Incarnation, Sequence: m.Sequence,
 		Leaving: m.Leaving, SeenAt: now,
 	}
--- a/endpt/protocol.go
+++ b/endpt/protocol.go
@@ -36,6 +36,7 @@
 	Address  string   `json:"address"`
 	Zone     string   `json:"zone"`
 	Models   []string `json:"models,omitempty"`
+	Adapters []string `json:"adapters,omitempty"`
 	Services []string `json:"services,omitempty"`
 	// Capacity is the number of requests that the endpoint runs at once.
 	Capacity int `json:"capacity"`
--- a/oper/server.go
+++ b/oper/server.go
@@ -60,6 +60,7 @@
 	Endpoint string   `json:"endpoint"`
 	Zone     string   `json:"zone"`
 	Models   []string `json:"models,omitempty"`
+	Adapters []string `json:"adapters,omitempty"`
 	Services []string `json:"services,omitempty"`
 	Capacity int      `json:"capacity"`
 	Leaving  bool     `json:"leaving"`
--- a/peer/news.go
+++ b/peer/news.go
@@ -52,7 +52,7 @@
 func (d *Directory) Merge(states []*wire.EndpointState) {
 	for _, s := range states {
 		d.Tell(buckthornpin.Endpoint{
-			ID: s.GetEndpoint(), Address: s.GetAddress(), Zone: s.GetZone(), Models: s.GetModels(), Services: s.GetServices(),
+			ID: s.GetEndpoint(), Address: s.GetAddress(), Zone: s.GetZone(), Models: s.GetModels(), Adapters: s.GetAdapters(), Services: s.GetServices(),
 			Capacity: int(s.GetCapacity()), Incarnation: s.GetIncarnation(), Sequence: s.GetSequence(),
 			Leaving: s.GetLeaving(), Dead: s.GetDead(),
 		})
@@ -79,7 +79,7 @@
 
 func stateOf(e buckthornpin.Endpoint) *wire.EndpointState {
 	return &wire.EndpointState{
-		Endpoint: e.ID, Address: e.Address, Zone: e.Zone, Models: e.Models, Services: e.Services,
+		Endpoint: e.ID, Address: e.Address, Zone: e.Zone, Models: e.Models, Adapters: e.Adapters, Services: e.Services,
 		Capacity: int32(e.Capacity), Incarnation: e.Incarnation, Sequence: e.Sequence, Leaving: e.Leaving, Dead: e.Dead,
 	}
 }
--- a/router/flight.go
+++ b/router/flight.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
 
 	"buckthornpin"
 	"buckthornpin/endpt"
@@ -85,16 +86,23 @@
 		r.metrics.refused.Add(1)
 		r.metrics.refusals.Add(refusal.Code, 1)
 		r.record(buckthornpin.EventRefused, f.request, "", refusal.Error())
+		f.log(r.Log.Info()).Str("code", refusal.Code).Str("outcome", string(refusal.Outcome)).Msg("refused")
 		r.finished(f, false)
 		f.answer.End(refusal)
 		return
 	}
 	r.metrics.answered.Add(1)
 	r.record(buckthornpin.EventAnswered, f.request, "", "")
+	f.log(r.Log.Debug()).Int("attempts", f.attempts).Msg("answered")
 	r.finished(f, true)
 	f.answer.End(nil)
 }
 
+// log adds the request to a log entry.
+func (f *flight) log(e *zerolog.Event) *zerolog.Event {
+	return e.Str("organisation", f.request.Key.Organisation).Str("request", f.request.Key.Key)
+}
+
 // abandoned ends the request when nobody reads its answer any more. Under a
 // caller's own key the caller has a while to come again; a non-idempotent
 // request goes on to its end.
--- a/stand/announce.go
+++ b/stand/announce.go
@@ -70,7 +70,7 @@
 
 func (e *Endpoint) announce(ctx context.Context, routers []string) {
 	m := endpt.Announcement{
-		Endpoint: e.ID, Address: e.address(), Zone: e.Zone, Models: e.Models, Services: e.Services,
+		Endpoint: e.ID, Address: e.address(), Zone: e.Zone, Models: e.Models, Adapters: e.Adapters, Services: e.Services,
 		Capacity: e.Capacity, Incarnation: e.incarnation, Sequence: e.sequence.Add(1),
 		Leaving: e.leaving.Load(),
 	}
