--- a/app/demo.go
+++ b/app/demo.go
@@ -104,7 +104,7 @@
 }
 
 func (d *Demo) chat(ctx context.Context, router int, name, key, content string, billed bool) error {
-	prompt := stand.Prompt{Model: demoModel, Messages: []stand.Message{{Role: "user", Content: content}}, MaxTokens: 64}
+	prompt := demoPrompt(content)
 	_, body, err := d.post(ctx, router, "/v1/chat/completions", key, false, chatRequest{Prompt: prompt, Stream: true})
 	if err != nil {
 		return err
@@ -125,6 +125,10 @@
 	return nil
 }
 
+func demoPrompt(content string) stand.Prompt {
+	return stand.Prompt{Model: demoModel, Messages: []stand.Message{{Role: "user", Content: content}}, MaxTokens: 64}
+}
+
 // chatRequest is a chat request as callers send it.
 type chatRequest struct {
 	stand.Prompt
