--- a/event.go
+++ b/event.go
@@ -22,7 +22,6 @@
 	EventCancelled     EventKind = "cancelled"
 	EventRefused       EventKind = "refused"
 	EventAnswered      EventKind = "answered"
-	EventBroken        EventKind = "broken"
 	EventCallerGone    EventKind = "caller_gone"
 	EventEndpointNew   EventKind = "endpoint_new"
 	EventEndpointLeave EventKind = "endpoint_leaving"
--- a/router/error.go
+++ b/router/error.go
@@ -7,17 +7,6 @@
 	"buckthornpin"
 )
 
-// Kind classifies the errors of this package.
-type Kind string
-
-const (
-	// KindCut is a router that can't reach control.
-	KindCut Kind = "cut"
-)
-
-// Error is the error type of this package.
-type Error = buckthornpin.OpError[Kind]
-
 // Codes of refusals.
 const (
 	CodeInsufficient = "insufficient_budget"
--- a/stand/answer.go
+++ b/stand/answer.go
@@ -83,7 +83,6 @@
 }
 
 func (a *answer) token(id string, i int) {
-	a.endpoint.generated.Add(1)
 	word, _ := json.Marshal(a.prompt.Word(i))
 	_, _ = fmt.Fprintf(a.w, "id: %s-%d-%d\ndata: {\"id\":%q,\"object\":\"chat.completion.chunk\",\"created\":0,\"model\":%q,\"choices\":[{\"index\":0,\"delta\":{\"content\":%s},\"finish_reason\":null}]}\n\n",
 		a.attempt, i, i+1, id, a.prompt.Model, word)
--- a/stand/endpoint.go
+++ b/stand/endpoint.go
@@ -58,7 +58,6 @@
 	sequence    atomic.Int64
 	running     atomic.Int64
 	leaving     atomic.Bool
-	generated   atomic.Int64
 	mu          sync.Mutex
 	routers     []string
 	cancels     map[string]context.CancelFunc
@@ -97,12 +96,6 @@
 	}
 }
 
-// Leave announces that the endpoint takes no new work, and refuses it.
-func (e *Endpoint) Leave() { e.leaving.Store(true) }
-
-// Generated counts the output tokens that were generated.
-func (e *Endpoint) Generated() int64 { return e.generated.Load() }
-
 // Runs counts the runs of a plain service's calls by their bodies.
 func (e *Endpoint) Runs() map[string]int {
 	e.mu.Lock()
