Deliver a service's answer only once its request is admitted

Cause: an idempotent call to a plain service under a caller's key, sent again through a router whose lease covers it, is dispatched before its reservation is answered. Engines' frames waited for that answer, services' answers did not: the caller got the second run's answer in place of the stored one. Found by reading the whole change; the new test failed before (run 2 in place of run 1) and passes. Both kinds wait in one place now.

--- a/app/site.go
+++ b/app/site.go
@@ -277,9 +277,6 @@
 	return "http://" + s.RouterProcesses()[i].Settings.Caller.Address
 }
 
-// Stop stops process i gracefully.
-func (s *LocalSite) Stop(i int) error { return s.processes[i].close() }
-
 // Close stops the routers, then control, then the endpoints.
 func (s *LocalSite) Close() error {
 	var problems []error
--- a/integ/endpoint_failure_test.go
+++ b/integ/endpoint_failure_test.go
@@ -146,6 +146,25 @@
 	})
 }
 
+// TestServiceRetryGetsTheStoredAnswer: an idempotent service call is sent again
+// under its key through a router whose lease covers it, so that it is dispatched
+// before its reservation is answered. The caller gets the stored answer all the
+// same, not that of the second run.
+func TestServiceRetryGetsTheStoredAnswer(t *testing.T) {
+	s := start(t, plan{controls: 1, routers: 2, services: 1, direct: true})
+	s.organisation("cafe", 1_000_000)
+	s.eventually("the second router has a lease", func() bool {
+		s.send("router-2", ask{org: "cafe", path: "/services/permits/look", content: "warm"})
+		return s.metrics(s.routers[1]).Budget.Leased > 0
+	})
+	a := ask{org: "cafe", key: "look-1", path: "/services/permits/look", content: "look up"}
+	first := s.send("router-1", a)
+	require.Equal(t, http.StatusOK, first.status, first.text)
+	again := s.send("router-2", a)
+	require.Equal(t, http.StatusOK, again.status, again.text)
+	require.Equal(t, first.text, again.text)
+}
+
 // runs counts how often the stand-in services ran a body.
 func (s *site) runs(body string) int {
 	s.t.Helper()
--- a/router/admission.go
+++ b/router/admission.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"buckthornpin"
+	"buckthornpin/endpt"
 	"buckthornpin/wire"
 )
 
@@ -69,8 +70,19 @@
 	}
 }
 
-// admitted waits for the admission and returns its refusal. Under a caller's
-// own key nothing is delivered before, since the key may have run already.
+// mayDeliver waits, under a caller's own key, until the request is admitted: the
+// key may have run already, and its answer is that run's then.
+func (f *flight) mayDeliver() error {
+	if f.request.Fresh {
+		return nil
+	}
+	if refusal := f.admitted(); refusal != nil {
+		return &endpt.Error{Op: "deliver", Kind: endpt.KindRejected, Err: refusal}
+	}
+	return nil
+}
+
+// admitted waits for the admission and returns its refusal.
 func (f *flight) admitted() *buckthornpin.Refusal {
 	<-f.admission.done
 	return f.admission.refusal
--- a/router/flight.go
+++ b/router/flight.go
@@ -206,6 +206,9 @@
 	if err != nil {
 		return err
 	}
+	if err := f.mayDeliver(); err != nil {
+		return err
+	}
 	f.answer.Append(1, encodeServiceAnswer(out))
 	return nil
 }
@@ -259,8 +262,8 @@
 	if frame.To > f.request.MaxTokens {
 		return &endpt.Error{Op: "read", Kind: endpt.KindRejected, Err: errors.Errorf("endpoint went on beyond %d tokens", f.request.MaxTokens)}
 	}
-	if !f.request.Fresh && f.admitted() != nil {
-		return &endpt.Error{Op: "read", Kind: endpt.KindRejected, Err: f.admission.refusal}
+	if err := f.mayDeliver(); err != nil {
+		return err
 	}
 	if frame.To == frame.From {
 		return f.takeLast(frame)
