--- /dev/null
+++ b/app/fleet.go
@@ -0,0 +1,435 @@
+package app
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"slices"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+
+	"buckthornpin/budget"
+	"buckthornpin/config"
+	"buckthornpin/conn"
+	"buckthornpin/ctrl"
+	"buckthornpin/event"
+	"buckthornpin/health"
+	"buckthornpin/peer"
+	platf "buckthornpin/platform"
+	"buckthornpin/relay"
+	"buckthornpin/site"
+	"buckthornpin/store"
+)
+
+const (
+	// beatsToDeath is how many heartbeats an endpoint may miss before it counts as
+	// dead: one may be lost, and one may be a second or two late.
+	beatsToDeath = 4
+	// nodeForget is how long a silent process is remembered, in times of contact.
+	nodeForget = 20
+	// memoryShare is the part of the VM's memory that the heap may take, in
+	// percent; the rest is for stacks, buffers of the kernel and what grows while
+	// the collector runs.
+	memoryShare = 70
+	// snapshotBytes is the size of the log that starts a snapshot: a few hundred
+	// configurations of a small site.
+	snapshotBytes = 4 << 20
+	// balancerNotices is the time after which the balancer sends a process that
+	// isn't ready no new connections: two checks, a second apart, and a margin.
+	balancerNotices = 2300 * time.Millisecond
+	// stopMargin is kept from the grace at the end of a stop.
+	stopMargin = 800 * time.Millisecond
+)
+
+// Fleet is a process on the users' platform: a router or a control replica. Its
+// exported fields are set before Open.
+type Fleet struct {
+	Settings config.Settings
+	// Reload returns the settings as the file has them now.
+	Reload func() (config.Settings, error)
+	// Reloads tells of settings that may have changed.
+	Reloads <-chan struct{}
+	Build   BuildInfo
+	Log     zerolog.Logger
+
+	line      *event.Line
+	seeds     atomic.Pointer[[]string]
+	dialer    *conn.Dialer
+	client    *ctrl.Client
+	nodes     *peer.Nodes
+	directory *peer.Directory
+	mesh      *peer.Mesh
+	replica   *ctrl.Replica
+	links     *ctrl.Links
+	joiner    *ctrl.Joiner
+	mirror    *ctrl.SiteMirror
+	wallet    *budget.Wallet
+	router    *relay.Router
+	pool      *conn.Pool
+	dialed    expvar.Int
+	draining  atomic.Bool
+	started   time.Time
+	metrics   *expvar.Map
+	servers   []*http.Server
+}
+
+// Open sets the process up.
+func (f *Fleet) Open() error {
+	f.started = time.Now()
+	p := f.Settings.Platform
+	if p.MemoryMB > 0 {
+		debug.SetMemoryLimit(p.MemoryMB << 20 / 100 * memoryShare)
+	}
+	f.Log = f.Log.With().Str("vm", f.Settings.VM).Str("zone", f.Settings.Zone).Str("role", roleName(f.Settings)).Logger()
+	f.line = &event.Line{VM: f.Settings.VM, Role: roleName(f.Settings), Clock: &event.Clock{}}
+	f.metrics = new(expvar.Map)
+	f.setSeeds(p)
+	f.openMesh()
+	if f.Settings.Has(config.RoleControl) {
+		return f.openControl()
+	}
+	f.openRouter()
+	return nil
+}
+
+func (f *Fleet) setSeeds(p config.PlatformSettings) {
+	seeds := p.MeshSeeds()
+	f.seeds.Store(&seeds)
+}
+
+func (f *Fleet) openMesh() {
+	p := f.Settings.Platform
+	contact := time.Duration(p.Contact)
+	f.dialer = &conn.Dialer{SilentAfter: contact / 2, Traffic: &conn.Traffic{}}
+	f.metrics.Set("internal", f.dialer.Traffic.Metrics())
+	f.nodes = &peer.Nodes{
+		Self: peer.Node{
+			VM: f.Settings.VM, Zone: f.Settings.Zone, Address: p.MeshAddress(),
+			Control: f.Settings.Has(config.RoleControl), Incarnation: f.started.UnixMilli(),
+		},
+		AliveFor: contact, ForgetAfter: nodeForget * contact, Joined: f.noteNode,
+	}
+	f.directory = &peer.Directory{Events: f.line, DeadAfter: beatsToDeath * time.Duration(p.Heartbeat), Addresses: f.addresses}
+	f.mesh = &peer.Mesh{
+		Nodes: f.nodes, Directory: f.directory, HTTP: f.dialer.Internal(), Scheme: f.dialer.Scheme(),
+		Seeds: f.otherSeeds, Log: f.Log,
+	}
+	f.client = &ctrl.Client{Known: f.controls, HTTP: f.dialer.Internal(), Scheme: f.dialer.Scheme()}
+}
+
+func (f *Fleet) noteNode(n peer.Node) {
+	f.Log.Info().Str("node", n.VM).Str("address", n.Address).Bool("control", n.Control).Msg("process has joined")
+}
+
+// addresses are those of all living processes, for the number of tellings.
+func (f *Fleet) addresses() []string {
+	var out []string
+	for _, n := range f.nodes.Living(time.Now()) {
+		out = append(out, n.Address)
+	}
+	return out
+}
+
+func (f *Fleet) otherSeeds() []string {
+	var out []string
+	for _, a := range *f.seeds.Load() {
+		if a != f.nodes.Self.Address {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// controls are the addresses at which control may answer: the seeds, those that
+// were learned, and a replica's own group.
+func (f *Fleet) controls() []string {
+	out := slices.Clone(*f.seeds.Load())
+	for _, n := range f.nodes.Controls() {
+		out = append(out, n.Address)
+	}
+	if f.replica == nil {
+		return out
+	}
+	out = append(out, f.nodes.Self.Address)
+	for _, m := range f.replica.Status().Members.GetMembers() {
+		out = append(out, m.GetAddress())
+	}
+	return out
+}
+
+func (f *Fleet) openControl() error {
+	p := f.Settings.Platform
+	formation := &ctrl.Formation{
+		Path: f.Settings.Ctrl.DataDir, Address: p.MeshAddress(), Founders: p.MeshSeeds(), FirstStart: p.FirstStart,
+		NewID: func() string { return p.MeshAddress() + "-" + uuid.NewString() }, Log: f.Log,
+	}
+	if err := formation.Form(); err != nil {
+		return &Error{Op: "form", Kind: KindSetup, Err: err}
+	}
+	f.links = &ctrl.Links{HTTP: f.dialer.Internal(), Scheme: f.dialer.Scheme()}
+	f.replica = &ctrl.Replica{
+		Folder: &store.Folder{Path: f.Settings.Ctrl.DataDir}, Transport: f.links, Events: f.line, Log: f.Log,
+		SnapshotBytes: snapshotBytes, DropAfter: 2 * (time.Duration(p.CatchUp) + time.Duration(p.Contact)),
+	}
+	if err := f.replica.Open(); err != nil {
+		return &Error{Op: "open", Kind: KindSetup, Err: err}
+	}
+	f.metrics.Set("replica", f.replica.Metrics())
+	f.joiner = &ctrl.Joiner{Replica: f.replica, Client: f.client, Address: p.MeshAddress(), Log: f.Log}
+	return nil
+}
+
+func (f *Fleet) openRouter() {
+	p := f.Settings.Platform
+	f.wallet = &budget.Wallet{
+		Control: f.client, Lenders: f.mesh, Address: p.MeshAddress(), Incarnation: f.started.UnixNano(), Log: f.Log,
+	}
+	f.mirror = &ctrl.SiteMirror{
+		Client: f.client, Router: f.Settings.VM, Decode: platf.DecodeConfiguration, Taken: f.takeSite, Log: f.Log,
+	}
+	f.pool = &conn.Pool{
+		DialTimeout: time.Duration(p.Contact) / 3, SilentAfter: time.Duration(p.Contact), Dialed: func() { f.dialed.Add(1) },
+	}
+	f.router = &relay.Router{
+		Zone: f.Settings.Zone, Site: f.mirror.Table, Directory: f.directory, Endpoints: &platf.Endpoints{Pool: f.pool},
+		Funds: f.wallet, Loads: f.mesh, Log: f.Log, Stopping: f.draining.Load,
+		Retries: &relay.Retries{
+			Ratio: p.RetryRatio, Slack: p.RetrySlack, Window: time.Duration(p.RetryWindow),
+			Routers: func() int { return 1 + len(f.nodes.Routers(time.Now())) },
+		},
+	}
+	f.mesh.Budgets = f.wallet
+	f.mesh.OwnLoads = f.router.OwnLoads
+	f.metrics.Set("router", f.router.Metrics())
+	f.metrics.Set("budget", f.wallet.Metrics())
+	f.metrics.Set("endpoint_connections", &f.dialed)
+}
+
+// takeSite asks for shares of the budgets that a configuration names.
+func (f *Fleet) takeSite(t *site.Table) {
+	var charged []string
+	for _, o := range t.Organisations {
+		if o.Prepaid != site.Unlimited {
+			charged = append(charged, o.Name)
+		}
+	}
+	f.wallet.Know(charged)
+}
+
+// Ready reports whether a router takes new work: it knows a configuration and
+// endpoints, and isn't stopping.
+func (f *Fleet) Ready() bool {
+	return !f.draining.Load() && f.mirror.Table() != nil && len(f.directory.Endpoints()) > 0
+}
+
+// Run serves until ctx ends, then stops gracefully.
+func (f *Fleet) Run(ctx context.Context) error {
+	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	parts, err := f.parts(inner)
+	if err != nil {
+		return err
+	}
+	ended := make(chan partEnd, len(parts))
+	for _, part := range parts {
+		go func() { ended <- partEnd{name: part.name, err: part.run(inner)} }()
+	}
+	f.Log.Info().Str("build", f.Build.Version).Dur("took_ms", time.Since(f.started)).Strs("seeds", *f.seeds.Load()).Msg("started")
+	left := len(parts)
+	select {
+	case e := <-ended:
+		left--
+		err = errors.Wrapf(e.err, "part %s ended", e.name)
+	case <-ctx.Done():
+		f.drain(inner)
+	}
+	stop()
+	for ; left > 0; left-- {
+		if e := <-ended; e.err != nil && err == nil {
+			err = errors.Wrap(e.err, e.name)
+		}
+	}
+	f.Log.Info().Err(err).Msg("stopped")
+	return err
+}
+
+// drain turns readiness off, lets the balancer notice, finishes the requests in
+// progress and gives the budgets back.
+func (f *Fleet) drain(ctx context.Context) {
+	began := time.Now()
+	f.draining.Store(true)
+	f.nodes.SetStopping()
+	f.Log.Info().Msg("draining")
+	if f.router == nil {
+		return
+	}
+	grace := time.Duration(f.Settings.Platform.Grace)
+	front := f.servers[0]
+	front.SetKeepAlivesEnabled(false)
+	wait(ctx, min(balancerNotices, grace/3))
+	shutdown, cancel := context.WithDeadline(ctx, began.Add(grace-stopMargin))
+	err := front.Shutdown(shutdown)
+	cancel()
+	f.Log.Info().Err(err).Int64("in_progress", f.router.InProgress()).Msg("callers are served")
+	closing, cancel := context.WithTimeout(ctx, stopMargin/2)
+	defer cancel()
+	f.wallet.Close(closing, f.heirs())
+}
+
+func (f *Fleet) heirs() []string {
+	var out []string
+	for _, n := range f.nodes.Routers(time.Now()) {
+		if !n.Stopping {
+			out = append(out, n.Address)
+		}
+	}
+	return out
+}
+
+// parts returns the goroutines of the process.
+func (f *Fleet) parts(ctx context.Context) ([]part, error) {
+	mux := http.NewServeMux()
+	opts := []connect.HandlerOption{connect.WithReadMaxBytes(store.MaxRecordBytes), connect.WithCompressMinBytes(compressMinBytes)}
+	f.mesh.Register(mux, opts...)
+	parts := []part{{"mesh", f.mesh.Run}, {"reload", f.reload}}
+	if f.replica != nil {
+		f.links.Open(ctx)
+		(&ctrl.Service{Replica: f.replica, Events: f.line}).Register(mux, opts...)
+		parts = append(parts, part{"replica", f.replica.Run}, part{"links", f.links.Run}, part{"joiner", f.joiner.Run})
+	} else {
+		parts = append(parts, part{"mirror", f.mirror.Run}, part{"wallet", f.wallet.Run}, part{"sweep", f.sweep})
+	}
+	served := f.addressesServed(mux)
+	for _, s := range served {
+		l, err := net.Listen("tcp", s.address)
+		if err != nil {
+			return nil, &Error{Op: "listen", Kind: KindSetup, Err: err}
+		}
+		parts = append(parts, part{s.name, f.serve(l, s.server)})
+	}
+	return parts, nil
+}
+
+type servedAddress struct {
+	name, address string
+	server        *http.Server
+}
+
+// addressesServed are the listeners of the process; a router's callers come
+// first.
+func (f *Fleet) addressesServed(internal http.Handler) []servedAddress {
+	p := f.Settings.Platform
+	var out []servedAddress
+	if f.router != nil {
+		ingress := &platf.Ingress{Router: f, MaxBodyBytes: f.maxBody}
+		front := &http.Server{Handler: ingress, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdle, MaxHeaderBytes: callerHeaderBytes}
+		out = append(out, servedAddress{"callers", p.CallerAddress, front})
+		out = append(out, servedAddress{"ready", p.ReadyAddress, &http.Server{Handler: platf.ReadyHandler(f.Ready), ReadHeaderTimeout: callerHeaderTimeout}})
+	} else {
+		s := &platf.ControlServer{Control: &fleetControl{fleet: f}, Log: f.Log, Timeout: controlTimeout}
+		out = append(out, servedAddress{"control", p.ControlAddress, &http.Server{Handler: s.Handler(), ReadHeaderTimeout: callerHeaderTimeout}})
+	}
+	mesh := &http.Server{Handler: internal, Protocols: new(http.Protocols), ReadHeaderTimeout: callerHeaderTimeout}
+	mesh.Protocols.SetHTTP1(true)
+	mesh.Protocols.SetUnencryptedHTTP2(true)
+	mesh.HTTP2 = &http.HTTP2Config{SendPingTimeout: time.Duration(p.Contact) / 4, PingTimeout: time.Duration(p.Contact) / 4}
+	out = append(out, servedAddress{"internal", p.MeshAddress(), mesh})
+	m := &health.Server{Ready: f.alive, Draining: f.draining.Load, Metrics: f.metrics}
+	metrics := &http.Server{Handler: m.Handler(), ReadHeaderTimeout: callerHeaderTimeout}
+	out = append(out, servedAddress{"metrics", net.JoinHostPort(p.IP, strconv.Itoa(p.MetricsPort)), metrics})
+	for _, s := range out {
+		f.servers = append(f.servers, s.server)
+	}
+	return out
+}
+
+func (f *Fleet) alive() bool { return f.router == nil || f.Ready() }
+
+const (
+	// callerHeaderTimeout bounds how long a client may take for its headers; the
+	// platform's callers stay within the limit of the configuration, which is
+	// shorter.
+	callerHeaderTimeout = 10 * time.Second
+	// callerIdle is longer than callers reuse idle connections for.
+	callerIdle = 90 * time.Second
+	// callerHeaderBytes bounds the headers of a request.
+	callerHeaderBytes = 64 << 10
+	// defaultBodyBytes bounds bodies until a configuration names a limit.
+	defaultBodyBytes = 4 << 20
+	// controlTimeout bounds an operator's call: it asks elsewhere after a second
+	// or a few.
+	controlTimeout = 3 * time.Second
+)
+
+func (f *Fleet) maxBody() int64 {
+	if t := f.mirror.Table(); t != nil && t.Limits.MaxBodyBytes > 0 {
+		return t.Limits.MaxBodyBytes
+	}
+	return defaultBodyBytes
+}
+
+// Serve implements the ingress's router.
+func (f *Fleet) Serve(r *http.Request, q *relay.Request, reply relay.Reply) {
+	f.router.Serve(r.Context(), q, reply)
+}
+
+// serve runs a server until ctx ends.
+func (f *Fleet) serve(l net.Listener, s *http.Server) func(ctx context.Context) error {
+	return func(ctx context.Context) error {
+		done := make(chan error, 1)
+		go func() { done <- s.Serve(l) }()
+		select {
+		case err := <-done:
+			if errors.Is(err, http.ErrServerClosed) {
+				<-ctx.Done()
+				return nil
+			}
+			return err
+		case <-ctx.Done():
+			return s.Close()
+		}
+	}
+}
+
+// sweepInterval is the time between two looks for idle connections that are too
+// old.
+const sweepInterval = time.Second
+
+func (f *Fleet) sweep(ctx context.Context) error {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			f.pool.Sweep(now)
+		}
+	}
+}
+
+// reload takes seeds from settings that have changed.
+func (f *Fleet) reload(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-f.Reloads:
+		}
+		s, err := f.Reload()
+		if err != nil {
+			f.Log.Error().Err(err).Msg("settings can't be used, the old ones stay in force")
+			continue
+		}
+		f.setSeeds(s.Platform)
+		f.Log.Info().Strs("seeds", s.Platform.SeedList()).Msg("settings are reloaded")
+	}
+}
--- a/app/init_command.go
+++ b/app/init_command.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 	"github.com/google/subcommands"
 
+	"buckthornpin/ctrl"
 	"buckthornpin/wire"
 )
 
@@ -73,7 +74,7 @@
 	if err != nil {
 		return c.fail(ExitUsage, err)
 	}
-	if err := InitFolder(s.Ctrl.DataDir, c.replica, members); err != nil {
+	if err := ctrl.InitFolder(s.Ctrl.DataDir, c.replica, members); err != nil {
 		return c.fail(ExitFailed, err)
 	}
 	_, _ = fmt.Fprintf(c.Out, "%s is the folder of replica %s\n", s.Ctrl.DataDir, c.replica)
--- a/app/run.go
+++ b/app/run.go
@@ -17,7 +17,7 @@
 	"buckthornpin/config"
 	"buckthornpin/conn"
 	"buckthornpin/ctrl"
-	"buckthornpin/platf"
+	"buckthornpin/health"
 )
 
 // part is a goroutine of the process; it reports its end on a channel.
@@ -141,7 +141,7 @@
 }
 
 func (p *Process) platform() part {
-	s := &platf.Server{Ready: p.Ready, Draining: p.draining.Load, Metrics: p.metrics}
+	s := &health.Server{Ready: p.Ready, Draining: p.draining.Load, Metrics: p.metrics}
 	return p.serve("platf", p.Listeners.Platf, s.Handler(), nil, 0)
 }
 
--- a/app/serve_command.go
+++ b/app/serve_command.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"flag"
+	"os"
 	"strings"
 
 	"github.com/google/subcommands"
+	"github.com/rs/zerolog"
 
 	"buckthornpin/config"
+	platf "buckthornpin/platform"
 )
 
 // settingsFlags name the files of the settings.
@@ -33,6 +36,13 @@
 type serveCommand struct {
 	*Shell
 	settingsFlags
+	platform bool
+}
+
+// SetFlags implements subcommands.Command.
+func (c *serveCommand) SetFlags(f *flag.FlagSet) {
+	c.settingsFlags.SetFlags(f)
+	f.BoolVar(&c.platform, "platform", false, "read the settings file that the platform names in "+platf.SettingsVariable)
 }
 
 // Name implements subcommands.Command.
@@ -45,7 +55,8 @@
 func (*serveCommand) Usage() string {
 	return `serve -config BASE[,OVERLAY...]
 Runs the roles that the settings name until SIGINT or SIGTERM, then stops
-gracefully: no request in progress is cut off. Logs are JSON lines on stderr.
+gracefully: no request in progress is cut off. Logs are JSON lines, on stderr or,
+on the users' platform, on stdout.
 Example:
   buckthornpin serve -config base.json,kl.json,vm-1.json
 `
@@ -53,10 +64,16 @@
 
 // Execute implements subcommands.Command.
 func (c *serveCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.platform {
+		c.files = os.Getenv(platf.SettingsVariable)
+	}
 	s, err := c.load()
 	if err != nil {
 		return c.fail(ExitUsage, err)
 	}
+	if s.Platform.Enabled {
+		return c.serveFleet(ctx, s)
+	}
 	p := &Process{Settings: s, Build: c.Build, Log: c.Logger(s.Log.Level)}
 	if err := p.Open(); err != nil {
 		return c.fail(ExitFailed, err)
@@ -67,6 +84,31 @@
 	return ExitOK
 }
 
+// serveFleet runs a process on the users' platform. Its log goes to standard
+// output and never blocks: lines that can't be written in time are counted and
+// dropped.
+func (c *serveCommand) serveFleet(ctx context.Context, s config.Settings) subcommands.ExitStatus {
+	out, closeLog := nonBlocking(c.Out)
+	defer closeLog()
+	level, err := zerolog.ParseLevel(s.Log.Level)
+	if err != nil {
+		return c.fail(ExitUsage, err)
+	}
+	f := &Fleet{
+		Settings: s, Build: c.Build, Log: zerolog.New(out).Level(level).With().Timestamp().Logger(),
+		Reload: c.load, Reloads: watchSettings(ctx, c.files),
+	}
+	if err := f.Open(); err != nil {
+		f.Log.Error().Err(err).Msg("process can't start")
+		return ExitFailed
+	}
+	if err := f.Run(ctx); err != nil {
+		f.Log.Error().Err(err).Msg("process has failed")
+		return ExitFailed
+	}
+	return ExitOK
+}
+
 // checkCommand checks settings.
 type checkCommand struct {
 	*Shell
--- a/app/site.go
+++ b/app/site.go
@@ -15,9 +15,9 @@
 	"buckthornpin/caller"
 	"buckthornpin/config"
 	"buckthornpin/conn"
+	"buckthornpin/ctrl"
 	"buckthornpin/oper"
 	"buckthornpin/stand"
-	"buckthornpin/store"
 	"buckthornpin/wire"
 )
 
@@ -122,7 +122,7 @@
 	for j, address := range group {
 		members.Members = append(members.Members, &wire.Member{Id: controlName(j), Address: address})
 	}
-	if err := InitFolder(set.Ctrl.DataDir, set.VM, members); err != nil {
+	if err := ctrl.InitFolder(set.Ctrl.DataDir, set.VM, members); err != nil {
 		return err
 	}
 	s.addProcess(set, Listeners{Ctrl: l})
@@ -131,22 +131,6 @@
 
 func controlName(i int) string { return fmt.Sprintf("control-%d", i+1) }
 
-// InitFolder makes the data folder of a replica of a new group.
-func InitFolder(path, replica string, members *wire.Members) error {
-	if err := store.Init(path, &wire.Identity{Replica: replica}); err != nil {
-		return err
-	}
-	f := &store.Folder{Path: path}
-	if _, err := f.Open(); err != nil {
-		return err
-	}
-	s := &wire.Snapshot{Index: 1, Term: 1, Members: members}
-	if err := f.SaveSnapshot(s, &wire.HardState{Term: 1, Commit: 1}, nil); err != nil {
-		return err
-	}
-	return f.Close()
-}
-
 func (s *LocalSite) settings(vm, role string, group []string) config.Settings {
 	set := config.Defaults()
 	n := len(s.Processes)
--- a/config/check.go
+++ b/config/check.go
@@ -26,10 +26,14 @@
 	c.expect(s.VM != "", "vm", `""`, "the name of the VM")
 	c.expect(len(s.Zones) > 0, "zones", s.Zones, "at least one availability zone")
 	c.expect(slices.Contains(s.Zones, s.Zone), "zone", s.Zone, "one of zones")
-	s.checkRoles(c)
-	s.checkAddresses(c)
-	s.checkNumbers(c)
-	s.checkTLS(c)
+	if s.Platform.Enabled {
+		s.checkPlatform(c)
+	} else {
+		s.checkRoles(c)
+		s.checkAddresses(c)
+		s.checkNumbers(c)
+		s.checkTLS(c)
+	}
 	c.expect(slices.Contains([]string{"debug", "info", "warn", "error"}, s.Log.Level), "log.level", s.Log.Level, "debug, info, warn or error")
 	return errors.Join(c.problems...)
 }
--- a/config/settings.go
+++ b/config/settings.go
@@ -53,6 +53,8 @@
 	TLS    TLSSettings    `json:"tls"`
 	Log    LogSettings    `json:"log"`
 
+	Platform PlatformSettings `json:"platform"`
+
 	// Dial are addresses that this VM reaches through another one.
 	Dial []DialSettings `json:"dial"`
 }
@@ -165,6 +167,46 @@
 	ChargeOrphans bool `json:"charge_orphans"`
 }
 
+// PlatformSettings are the settings of a process on the users' platform, which
+// has interfaces of its own for callers, endpoints and operators. If they are
+// enabled, those of the other interfaces don't apply.
+type PlatformSettings struct {
+	// Enabled runs the process for the platform.
+	Enabled bool `json:"enabled"`
+	// IP is the VM's address.
+	IP string `json:"ip"`
+	// CallerAddress is the IP:PORT that routers serve callers on.
+	CallerAddress string `json:"caller_address"`
+	// ReadyAddress is the IP:PORT that routers answer the balancer on.
+	ReadyAddress string `json:"ready_address"`
+	// ControlAddress is the IP:PORT that control serves operators and endpoints on.
+	ControlAddress string `json:"control_address"`
+	// MeshPort is the port on which processes serve each other.
+	MeshPort int `json:"mesh_port"`
+	// MetricsPort is the port for metrics.
+	MetricsPort int `json:"metrics_port"`
+	// Seeds are control addresses of some VMs, separated by commas.
+	Seeds string `json:"seeds"`
+	// FirstStart says that the whole system starts for the first time.
+	FirstStart bool `json:"first_start"`
+	// MemoryMB bounds the memory of the process, in MB.
+	MemoryMB int64 `json:"memory_mb"`
+	// Heartbeat is the time between two heartbeats of an endpoint.
+	Heartbeat Duration `json:"heartbeat"`
+	// Contact is the time after a disruption in which a process has to be in touch again.
+	Contact Duration `json:"contact"`
+	// CatchUp is the time that a new control VM has for catching up.
+	CatchUp Duration `json:"catch_up"`
+	// Grace is the time from SIGTERM to SIGKILL.
+	Grace Duration `json:"grace"`
+	// RetryRatio is the number of repeats allowed for each request.
+	RetryRatio float64 `json:"retry_ratio"`
+	// RetrySlack is the number of repeats allowed besides in each window, over all routers.
+	RetrySlack float64 `json:"retry_slack"`
+	// RetryWindow is the span over which repeats are counted.
+	RetryWindow Duration `json:"retry_window"`
+}
+
 // TLSSettings are the settings of encrypted connections.
 type TLSSettings struct {
 	// Enabled turns TLS on; it may be off only where all addresses are loopback.
--- a/conn/client.go
+++ b/conn/client.go
@@ -41,6 +41,9 @@
 	Via []Via
 	// Traffic counts the connections' bytes, if set.
 	Traffic *Traffic
+	// SilentAfter is how long the other side may be silent before a connection
+	// counts as dead; PingAfter and PingTimeout apply if 0.
+	SilentAfter time.Duration
 }
 
 // Internal returns a client for the calls between our own processes: HTTP/2,
@@ -51,6 +54,9 @@
 	t.Protocols.SetHTTP2(true)
 	t.Protocols.SetUnencryptedHTTP2(d.TLS == nil)
 	t.HTTP2 = &http.HTTP2Config{SendPingTimeout: PingAfter, PingTimeout: PingTimeout}
+	if d.SilentAfter > 0 {
+		t.HTTP2 = &http.HTTP2Config{SendPingTimeout: d.SilentAfter / 2, PingTimeout: d.SilentAfter / 2}
+	}
 	return &http.Client{Transport: t}
 }
 
@@ -99,6 +105,9 @@
 		}
 	}
 	plain := &net.Dialer{Timeout: DialTimeout, KeepAlive: PingAfter}
+	if d.SilentAfter > 0 {
+		plain = &net.Dialer{Timeout: d.SilentAfter, KeepAliveConfig: probes(d.SilentAfter), Control: userTimeout(d.SilentAfter)}
+	}
 	c, err := plain.DialContext(ctx, network, address)
 	if err != nil || d.Traffic == nil {
 		return c, err
--- /dev/null
+++ b/conn/exchange.go
@@ -0,0 +1,328 @@
+package conn
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// exchangeBuffer is the size of the read buffer of a pooled connection: an
+	// answer's headers and a few events.
+	exchangeBuffer = 4 << 10
+	// aloneBytes is the size up to which a request is written before the answer
+	// is read; a larger one is written beside, as its receiver may answer early.
+	aloneBytes = 8 << 10
+	// DefaultIdle is how long an idle connection is kept where the other side
+	// doesn't say.
+	DefaultIdle = 4 * time.Second
+	// idleMargin is kept from the idle time that the other side says.
+	idleMargin = 500 * time.Millisecond
+)
+
+// ErrNotSent says that no byte of a request has left this process.
+var ErrNotSent = errors.New("request wasn't sent")
+
+// Pool holds idle HTTP/1.1 connections. Unlike net/http it never sends a request
+// twice, and tells whether any byte of it has left. Its exported fields are set
+// before first use.
+type Pool struct {
+	// DialTimeout bounds how long a new connection may take.
+	DialTimeout time.Duration
+	// SilentAfter is how long a peer may leave data or keep-alive probes without
+	// an acknowledgement before the connection counts as dead.
+	SilentAfter time.Duration
+	// Dialed counts new connections, if set.
+	Dialed func()
+
+	mu   sync.Mutex
+	idle map[string][]*Link
+}
+
+// Link is one connection that carries one exchange at a time.
+type Link struct {
+	net.Conn
+	pool    *Pool
+	address string
+	br      *bufio.Reader
+	until   time.Time
+	broken  bool
+	stop    func() bool
+	written chan error
+}
+
+// Response is the answer to an exchange. Its Body has to be closed.
+type Response struct {
+	*http.Response
+	link *Link
+}
+
+// Exchange sends a request, given as its bytes, and reads the head of the
+// answer. An error that is ErrNotSent says that nothing has left. The exchange
+// ends with ctx, also while the body is read.
+func (p *Pool) Exchange(ctx context.Context, address, method string, head, body []byte) (*Response, error) {
+	l, err := p.link(ctx, address)
+	if err != nil {
+		return nil, errors.Join(ErrNotSent, err)
+	}
+	l.stop = context.AfterFunc(ctx, func() { _ = l.SetDeadline(time.Unix(1, 0)) })
+	r, err := l.exchange(method, head, body)
+	if err != nil {
+		l.discard()
+		return nil, err
+	}
+	return r, nil
+}
+
+func (l *Link) exchange(method string, head, body []byte) (*Response, error) {
+	l.broken = true
+	if err := l.write(head, body); err != nil {
+		return nil, err
+	}
+	request := &http.Request{Method: method}
+	for {
+		r, err := http.ReadResponse(l.br, request)
+		if err != nil {
+			return nil, errors.Wrap(err, "read answer")
+		}
+		if r.StatusCode >= 100 && r.StatusCode < 200 && r.StatusCode != http.StatusSwitchingProtocols {
+			continue
+		}
+		out := &Response{Response: r, link: l}
+		r.Body = &linkBody{body: r.Body, response: out}
+		return out, nil
+	}
+}
+
+// write sends a small request at once, and a large one beside the reading.
+func (l *Link) write(head, body []byte) error {
+	if len(head)+len(body) <= aloneBytes {
+		n, err := l.Write(append(head, body...))
+		if err != nil && n == 0 {
+			return errors.Join(ErrNotSent, err)
+		}
+		return errors.Wrap(err, "write request")
+	}
+	l.written = make(chan error, 1)
+	go func() {
+		buffers := net.Buffers{head, body}
+		_, err := buffers.WriteTo(l.Conn)
+		l.written <- err
+	}()
+	return nil
+}
+
+// Renew reads the next answer on the same connection in place of one that
+// belongs to an earlier exchange.
+func (r *Response) Renew(method string) (*Response, error) {
+	if _, err := io.Copy(io.Discard, r.Response.Body.(*linkBody).body); err != nil {
+		return nil, errors.Wrap(err, "skip answer")
+	}
+	next, err := http.ReadResponse(r.link.br, &http.Request{Method: method})
+	if err != nil {
+		return nil, errors.Wrap(err, "read answer")
+	}
+	out := &Response{Response: next, link: r.link}
+	next.Body = &linkBody{body: next.Body, response: out}
+	return out, nil
+}
+
+// linkBody gives the connection back once the body was read to its end.
+type linkBody struct {
+	body     io.ReadCloser
+	response *Response
+	whole    bool
+}
+
+// Read implements io.Reader.
+func (b *linkBody) Read(p []byte) (int, error) {
+	n, err := b.body.Read(p)
+	if err == io.EOF {
+		b.whole = true
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *linkBody) Close() error {
+	r, l := b.response, b.response.link
+	if l == nil {
+		return nil
+	}
+	r.link = nil
+	framed := r.ContentLength >= 0 || len(r.TransferEncoding) > 0
+	reusable := b.whole && framed && !r.Close && l.allWritten() && l.br.Buffered() == 0
+	if !reusable || !l.stop() {
+		l.discard()
+		return nil
+	}
+	l.broken = false
+	l.until = time.Now().Add(idleTime(r.Header))
+	l.pool.put(l)
+	return nil
+}
+
+func (l *Link) allWritten() bool {
+	if l.written == nil {
+		return true
+	}
+	select {
+	case err := <-l.written:
+		l.written = nil
+		return err == nil
+	default:
+		return false
+	}
+}
+
+// idleTime returns how long the other side keeps an idle connection.
+func idleTime(h http.Header) time.Duration {
+	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
+		value, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		if !ok {
+			continue
+		}
+		d, err := time.ParseDuration(value + "s")
+		if err == nil {
+			return max(d-idleMargin, 0)
+		}
+	}
+	return DefaultIdle
+}
+
+func (l *Link) discard() {
+	if l.stop != nil {
+		l.stop()
+	}
+	_ = l.Conn.Close()
+}
+
+func (p *Pool) put(l *Link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.idle == nil {
+		p.idle = map[string][]*Link{}
+	}
+	p.idle[l.address] = append(p.idle[l.address], l)
+}
+
+// link returns a living idle connection or a new one.
+func (p *Pool) link(ctx context.Context, address string) (*Link, error) {
+	for {
+		l := p.take(address)
+		if l == nil {
+			return p.dial(ctx, address)
+		}
+		if time.Now().Before(l.until) && l.quiet() {
+			return l, nil
+		}
+		_ = l.Conn.Close()
+	}
+}
+
+func (p *Pool) take(address string) *Link {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	all := p.idle[address]
+	if len(all) == 0 {
+		return nil
+	}
+	l := all[len(all)-1]
+	p.idle[address] = all[:len(all)-1]
+	return l
+}
+
+// Idle counts the idle connections to an address.
+func (p *Pool) Idle(address string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle[address])
+}
+
+// Sweep closes the connections whose idle time has passed.
+func (p *Pool) Sweep(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, all := range p.idle {
+		kept := all[:0]
+		for _, l := range all {
+			if now.Before(l.until) {
+				kept = append(kept, l)
+				continue
+			}
+			_ = l.Conn.Close()
+		}
+		p.idle[address] = kept
+		if len(kept) == 0 {
+			delete(p.idle, address)
+		}
+	}
+}
+
+func (p *Pool) dial(ctx context.Context, address string) (*Link, error) {
+	if p.Dialed != nil {
+		p.Dialed()
+	}
+	c, err := (&net.Dialer{Timeout: p.DialTimeout, KeepAliveConfig: probes(p.SilentAfter), Control: userTimeout(p.SilentAfter)}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &Link{Conn: c, pool: p, address: address, br: bufio.NewReaderSize(c, exchangeBuffer)}, nil
+}
+
+// probeCount is how many keep-alive probes may stay without an answer.
+const probeCount = 3
+
+// probes finds a peer that has gone silent within about the given time.
+func probes(silentAfter time.Duration) net.KeepAliveConfig {
+	if silentAfter <= 0 {
+		return net.KeepAliveConfig{}
+	}
+	every := max(silentAfter/probeCount, time.Second)
+	return net.KeepAliveConfig{Enable: true, Idle: every, Interval: every, Count: probeCount}
+}
+
+// userTimeout sets TCP_USER_TIMEOUT, which ends a connection whose data isn't
+// acknowledged.
+func userTimeout(d time.Duration) func(network, address string, c syscall.RawConn) error {
+	if d <= 0 {
+		return nil
+	}
+	return func(_, _ string, c syscall.RawConn) error {
+		var err error
+		ctrlErr := c.Control(func(fd uintptr) {
+			err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+		})
+		return errors.Join(ctrlErr, err)
+	}
+}
+
+// quiet reports whether an idle connection is open and has sent nothing: what
+// waits there can't be the answer to the next request.
+func (l *Link) quiet() bool {
+	sc, ok := l.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = errors.Is(err, unix.EAGAIN)
+		return true
+	})
+	return err == nil && quiet && l.SetDeadline(time.Time{}) == nil
+}
--- a/ctrl/call.go
+++ b/ctrl/call.go
@@ -160,7 +160,12 @@
 		c.done <- r.notLeader("change members")
 		return
 	}
-	_, _, err := r.node.ProposeMembers(c.change(r.node.Members()))
+	next := c.change(r.node.Members())
+	if next == nil {
+		c.done <- nil
+		return
+	}
+	_, _, err := r.node.ProposeMembers(next)
 	c.done <- err
 }
 
--- a/ctrl/client.go
+++ b/ctrl/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"sync"
 	"time"
@@ -26,9 +27,11 @@
 // exported fields are set before first use.
 type Client struct {
 	Addresses []string
-	HTTP      *http.Client
-	Scheme    string
-	Options   []connect.ClientOption
+	// Known returns addresses that were learned later, if set.
+	Known   func() []string
+	HTTP    *http.Client
+	Scheme  string
+	Options []connect.ClientOption
 
 	mu      sync.Mutex
 	clients map[string]wire.ControlClient
@@ -78,6 +81,26 @@
 	})
 }
 
+// Join asks the group to take a replica in.
+func (c *Client) Join(ctx context.Context, m *wire.Member) error {
+	reply, err := ask(ctx, c, "join", callTimeout, func(ctx context.Context, cc wire.ControlClient) (*wire.JoinReply, error) {
+		return cc.Join(ctx, &wire.JoinRequest{Member: m})
+	})
+	if err != nil {
+		return err
+	}
+	if reply.GetProblem() != "" {
+		return &Error{Op: "join", Kind: KindUnavailable, Err: errors.New(reply.GetProblem())}
+	}
+	return nil
+}
+
+// ReadSite returns the site's configuration in force; the read is linearizable.
+func (c *Client) ReadSite(ctx context.Context) (*wire.SiteState, error) {
+	reply, err := c.Sync(ctx, &wire.SyncRequest{Revision: math.MaxInt64})
+	return reply.GetSite(), err
+}
+
 // ask calls the leader, wherever it is, until ctx ends.
 func ask[R leaderReply](ctx context.Context, c *Client, op string, timeout time.Duration, call func(context.Context, wire.ControlClient) (R, error)) (R, error) {
 	pause := &backoff.ExponentialBackOff{InitialInterval: firstRetry, MaxInterval: longestRetry, Multiplier: 2, RandomizationFactor: 0.5}
@@ -111,7 +134,11 @@
 		return c.leader
 	}
 	c.turn++
-	return c.Addresses[c.turn%len(c.Addresses)]
+	all := c.Addresses
+	if c.Known != nil {
+		all = append(c.Known(), all...)
+	}
+	return all[c.turn%len(all)]
 }
 
 // learn takes the leader's address from a reply. The replica that was asked may
--- a/ctrl/replica.go
+++ b/ctrl/replica.go
@@ -50,6 +50,10 @@
 	Tick          time.Duration
 	ElectionTicks int
 	SnapshotBytes int64
+	// DropAfter is the silence after which the leader removes a voter, as long as
+	// enough others answer; 0 leaves that to operators. A voter that comes back
+	// asks to join again.
+	DropAfter time.Duration
 	// CheckEach verifies the ledger's invariants after each entry.
 	CheckEach bool
 
@@ -222,6 +226,7 @@
 // work does what the node asks for until nothing is left.
 func (r *Replica) work() error {
 	r.promoteLearners()
+	r.dropSilent()
 	for {
 		ready := r.node.Ready()
 		if ready.Empty() {
@@ -272,13 +277,13 @@
 	if ready.Snapshot != nil {
 		return r.installSnapshot(ready)
 	}
-	if ready.HardState == nil && len(ready.Entries) == 0 {
+	if !sync {
+		// A commit index alone is found again by the next leader: writing it
+		// without a sync would only leave a tail that a power loss may tear.
 		return nil
 	}
-	if sync {
-		r.metrics.syncs.Add(1)
-		r.metrics.entries.Add(int64(len(ready.Entries)))
-	}
+	r.metrics.syncs.Add(1)
+	r.metrics.entries.Add(int64(len(ready.Entries)))
 	return r.Folder.Save(ready.HardState, ready.Entries, sync)
 }
 
@@ -325,6 +330,43 @@
 	}
 }
 
+// leastVoters is the smallest group that a silent voter is removed from: with
+// fewer the group would bear no further loss.
+const leastVoters = 4
+
+// dropSilent removes a voter that has been silent for long, so that lost VMs
+// don't add up to a lost quorum. The others have to answer.
+func (r *Replica) dropSilent() {
+	if r.DropAfter == 0 || r.node.Role() != quorum.Leader {
+		return
+	}
+	limit := int(r.DropAfter / (r.Tick * DefaultHeartbeatTicks))
+	next := &wire.Members{}
+	voters, silent, dropped := 0, 0, ""
+	for _, m := range r.node.Members().GetMembers() {
+		quiet := m.GetId() != r.node.ID && r.node.Silent(m.GetId()) > limit
+		if !m.GetLearner() {
+			voters++
+		}
+		if quiet {
+			silent++
+		}
+		if quiet && dropped == "" {
+			dropped = m.GetId()
+			continue
+		}
+		next.Members = append(next.Members, m)
+	}
+	if dropped == "" || voters < leastVoters || silent > 1 && voters-silent <= voters/2 {
+		return
+	}
+	if _, _, err := r.node.ProposeMembers(next); err != nil {
+		return
+	}
+	r.Log.Info().Str("replica", dropped).Int("voters", voters-1).Msg("silent replica was removed")
+	r.Events.Record(buckthornpin.Event{Kind: buckthornpin.EventMembers, Detail: dropped + " is removed"})
+}
+
 func (r *Replica) publish() {
 	s := &Status{
 		ID: r.node.ID, Role: r.node.Role().String(), Leader: r.node.Leader(), Term: r.node.Term(),
--- a/ctrl/service.go
+++ b/ctrl/service.go
@@ -88,8 +88,8 @@
 	defer timer.Stop()
 	for {
 		changed := s.Replica.Changed()
-		reply, err := s.changedSince(ctx, r.GetRevision())
-		if err != nil || reply.GetNotLeader() || reply.GetRevision() > r.GetRevision() || wait <= 0 {
+		reply, err := s.changedSince(ctx, r)
+		if err != nil || reply.GetNotLeader() || reply.GetRevision() > r.GetRevision() || reply.GetSite() != nil || wait <= 0 {
 			return reply, err
 		}
 		select {
@@ -102,10 +102,13 @@
 	}
 }
 
-func (s *Service) changedSince(ctx context.Context, revision int64) (*wire.SyncReply, error) {
+func (s *Service) changedSince(ctx context.Context, r *wire.SyncRequest) (*wire.SyncReply, error) {
 	var reply *wire.SyncReply
 	err := s.Replica.Read(ctx, func(l *ledger.Ledger) {
-		reply = proto.CloneOf(l.ChangedSince(revision))
+		reply = proto.CloneOf(l.ChangedSince(r.GetRevision()))
+		if l.Site().GetVersion() > r.GetSiteVersion() {
+			reply.Site = l.Site()
+		}
 	})
 	if notLeader(err) {
 		return &wire.SyncReply{NotLeader: true, LeaderAddress: s.Replica.LeaderAddress()}, nil
@@ -169,6 +172,42 @@
 	return out
 }
 
+// Join implements wire.ControlHandler. A replica at the address of a member, but
+// with another identity, proves that the member's disk is gone: the member is
+// removed first. The new one starts as a learner; its caller asks again until it
+// votes.
+func (s *Service) Join(ctx context.Context, r *wire.JoinRequest) (*wire.JoinReply, error) {
+	err := s.Replica.ChangeMembers(ctx, func(m *wire.Members) *wire.Members { return admitted(m, r.GetMember()) })
+	if notLeader(err) {
+		return &wire.JoinReply{NotLeader: true, LeaderAddress: s.Replica.LeaderAddress()}, nil
+	}
+	if err != nil {
+		return &wire.JoinReply{Problem: err.Error()}, nil
+	}
+	return &wire.JoinReply{}, nil
+}
+
+// admitted returns the members one change closer to having the joiner among
+// them; nil where it is one already.
+func admitted(m *wire.Members, joiner *wire.Member) *wire.Members {
+	out := &wire.Members{}
+	replaced := false
+	for _, old := range m.GetMembers() {
+		if old.GetId() == joiner.GetId() {
+			return nil
+		}
+		if old.GetAddress() == joiner.GetAddress() {
+			replaced = true
+			continue
+		}
+		out.Members = append(out.Members, old)
+	}
+	if !replaced {
+		out.Members = append(out.Members, &wire.Member{Id: joiner.GetId(), Address: joiner.GetAddress(), Learner: true})
+	}
+	return out
+}
+
 func cloneAll[M proto.Message](ms []M) []M {
 	out := make([]M, 0, len(ms))
 	for _, m := range ms {
--- /dev/null
+++ b/ctrl/site_mirror.go
@@ -0,0 +1,96 @@
+package ctrl
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"buckthornpin/site"
+	"buckthornpin/wire"
+)
+
+// SiteMirror is a router's copy of the site's configuration. Its version only
+// rises. Its exported fields are set before Run.
+type SiteMirror struct {
+	Client *Client
+	Router string
+	// Decode decodes a document.
+	Decode func(document []byte) (site.Configuration, error)
+	// Taken is called with each configuration before it is in force, if set.
+	Taken func(t *site.Table)
+	Log   zerolog.Logger
+
+	table    atomic.Pointer[site.Table]
+	revision int64
+	heard    bool
+}
+
+// Table returns the configuration in force, nil before the first.
+func (m *SiteMirror) Table() *site.Table { return m.table.Load() }
+
+// Run follows the control group until ctx ends.
+func (m *SiteMirror) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		reply, err := m.sync(ctx)
+		if err != nil {
+			m.note(false)
+			pause(ctx, syncRetry)
+			continue
+		}
+		m.note(true)
+		m.revision = max(m.revision, reply.GetRevision())
+		m.take(reply.GetSite())
+	}
+	return nil
+}
+
+// sync asks for news, and gives up in time for the loss of control to be noted.
+func (m *SiteMirror) sync(ctx context.Context) (*wire.SyncReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, syncWait+callTimeout)
+	defer cancel()
+	return m.Client.Sync(ctx, m.request())
+}
+
+// note logs when control is lost or heard again.
+func (m *SiteMirror) note(heard bool) {
+	if heard != m.heard {
+		m.Log.Info().Bool("heard", heard).Int64("version", m.version()).Msg("link to control has changed")
+	}
+	m.heard = heard
+}
+
+func (m *SiteMirror) version() int64 {
+	if t := m.table.Load(); t != nil {
+		return t.Version
+	}
+	return 0
+}
+
+func (m *SiteMirror) request() *wire.SyncRequest {
+	r := &wire.SyncRequest{Router: m.Router, Revision: m.revision, SiteVersion: m.version()}
+	if m.heard {
+		r.WaitMs = syncWait.Milliseconds()
+	}
+	return r
+}
+
+func (m *SiteMirror) take(s *wire.SiteState) {
+	if s.GetVersion() <= m.version() {
+		return
+	}
+	started := time.Now()
+	c, err := m.Decode(s.GetDocument())
+	if err != nil {
+		m.Log.Error().Err(err).Int64("version", s.GetVersion()).Msg("configuration can't be used")
+		return
+	}
+	c.Version = s.GetVersion()
+	t := site.NewTable(c)
+	if m.Taken != nil {
+		m.Taken(t)
+	}
+	m.table.Store(t)
+	m.Log.Info().Int64("version", c.Version).Int("routes", len(c.Routes)).Dur("took_ms", time.Since(started)).Msg("configuration is in force")
+}
--- a/platf/server.go
+++ b/health/server.go
@@ -1,6 +1,6 @@
-// Package platf answers what the platform's balancer and its monitoring ask:
+// Package health answers what the platform's balancer and its monitoring ask:
 // whether the process lives, whether it takes work, and its metrics.
-package platf
+package health
 
 import (
 	"expvar"
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -43,6 +43,8 @@
 	replyOrder     []*wire.ReplyState
 	ends           endQueue
 	openCount      int64
+	site           *wire.SiteState
+	allowances     map[string]*allowance
 }
 
 // Empty returns the ledger before the first command.
@@ -55,6 +57,7 @@
 		routers:       map[string]*wire.RouterState{},
 		leases:        map[leaseKey]*wire.LeaseState{},
 		replies:       map[string]*wire.ReplyState{},
+		allowances:    map[string]*allowance{},
 	}
 }
 
@@ -78,6 +81,10 @@
 		return l.grantLease(op.GrantLease)
 	case *wire.Command_CloseLease:
 		return l.closeLease(op.CloseLease)
+	case *wire.Command_PutSite:
+		return l.putSite(op.PutSite)
+	case *wire.Command_ReportShares:
+		return l.reportShares(op.ReportShares)
 	}
 	r := l.applyChange(c)
 	l.remember(c.GetId(), r)
--- /dev/null
+++ b/ledger/share.go
@@ -0,0 +1,155 @@
+package ledger
+
+import (
+	"cmp"
+	"slices"
+
+	"buckthornpin/wire"
+)
+
+const (
+	// shareSilenceMS is how long a router may be silent and still count in the
+	// division of a budget.
+	shareSilenceMS = 5_000
+	// grantDivisor bounds one grant to this part of what is free, so that routers
+	// which report later find something left.
+	grantDivisor = 4
+	// leastWeight is the part of the mean demand that a router without demand
+	// counts for: its first requests must be covered in a cut too.
+	leastWeight = 4
+)
+
+// shareKey names one router process.
+type shareKey struct {
+	router      string
+	incarnation int64
+}
+
+// allowance is a prepaid total and the shares of it that router processes hold.
+// The sum of what was granted and not given back never passes the total at the
+// time of a grant.
+type allowance struct {
+	total  int64
+	shares map[shareKey]*wire.ShareState
+	// out is the sum of what was granted and not given back.
+	out int64
+}
+
+// Site returns the site's configuration in force, nil before the first.
+func (l *Ledger) Site() *wire.SiteState { return l.site }
+
+// putSite puts a configuration in force if its version is the highest.
+func (l *Ledger) putSite(c *wire.PutSite) *wire.Result {
+	if c.GetVersion() <= l.site.GetVersion() {
+		return &wire.Result{Kind: wire.ResultKind_RESULT_KIND_OK, Version: l.site.GetVersion()}
+	}
+	l.site = &wire.SiteState{Version: c.GetVersion(), Document: c.GetDocument()}
+	for _, t := range c.GetTotals() {
+		l.allowance(t.GetOrganisation()).total = t.GetTokens()
+	}
+	l.nextRevision()
+	return &wire.Result{Kind: wire.ResultKind_RESULT_KIND_OK, Version: c.GetVersion()}
+}
+
+func (l *Ledger) allowance(organisation string) *allowance {
+	a := l.allowances[organisation]
+	if a == nil {
+		a = &allowance{shares: map[shareKey]*wire.ShareState{}}
+		l.allowances[organisation] = a
+	}
+	return a
+}
+
+// reportShares takes what a router process says of its shares and hands out
+// more.
+func (l *Ledger) reportShares(c *wire.ReportShares) *wire.Result {
+	out := &wire.Result{Kind: wire.ResultKind_RESULT_KIND_OK}
+	k := shareKey{router: c.GetRouter(), incarnation: c.GetIncarnation()}
+	for _, r := range c.GetShares() {
+		out.Grants = append(out.Grants, l.reportShare(k, r))
+	}
+	return out
+}
+
+func (l *Ledger) reportShare(k shareKey, r *wire.ShareReport) *wire.ShareGrant {
+	a := l.allowance(r.GetOrganisation())
+	s := a.shares[k]
+	if s == nil {
+		s = &wire.ShareState{Organisation: r.GetOrganisation(), Router: k.router, Incarnation: k.incarnation}
+		a.shares[k] = s
+	}
+	if r.GetReturned() > s.GetReturned() {
+		a.out -= r.GetReturned() - s.GetReturned()
+		s.Returned = r.GetReturned()
+	}
+	s.Spent = max(s.GetSpent(), r.GetSpent())
+	s.Balance, s.Rate, s.AtMs = r.GetBalance(), r.GetRate(), l.nowMS
+	tokens := a.grant(s, r.GetNeed(), l.nowMS)
+	s.Granted += tokens
+	s.Balance += tokens
+	a.out += tokens
+	return &wire.ShareGrant{
+		Organisation: r.GetOrganisation(), Granted: s.GetGranted(), Recalled: a.out > a.total, Free: max(a.total-a.out, 0),
+	}
+}
+
+// grant returns how many tokens a router gets now: its part, by demand, of what
+// no router has spent, and at least what a waiting request lacks.
+func (a *allowance) grant(s *wire.ShareState, need, nowMS int64) int64 {
+	free := a.total - a.out
+	if free <= 0 {
+		return 0
+	}
+	pool, rates, n := free, int64(0), int64(0)
+	for _, o := range a.shares {
+		if nowMS-o.GetAtMs() <= shareSilenceMS {
+			pool += o.GetBalance()
+			rates += o.GetRate()
+			n++
+		}
+	}
+	least := max(rates/(n*leastWeight), 1)
+	target := pool / (rates + n*least) * (s.GetRate() + least)
+	part := min(target-s.GetBalance(), free/grantDivisor)
+	return max(part, min(need, free), 0)
+}
+
+// Shares returns the shares of all router processes, ordered by organisation,
+// router and incarnation.
+func (l *Ledger) Shares() []*wire.ShareState {
+	var out []*wire.ShareState
+	for _, a := range l.allowances {
+		for _, s := range a.shares {
+			out = append(out, s)
+		}
+	}
+	slices.SortFunc(out, func(a, b *wire.ShareState) int {
+		return cmp.Or(
+			cmp.Compare(a.GetOrganisation(), b.GetOrganisation()),
+			cmp.Compare(a.GetRouter(), b.GetRouter()),
+			cmp.Compare(a.GetIncarnation(), b.GetIncarnation()),
+		)
+	})
+	return out
+}
+
+// Totals returns the prepaid totals, ordered by organisation.
+func (l *Ledger) Totals() []*wire.OrganisationTotal {
+	var out []*wire.OrganisationTotal
+	for name, a := range l.allowances {
+		out = append(out, &wire.OrganisationTotal{Organisation: name, Tokens: a.total})
+	}
+	slices.SortFunc(out, func(a, b *wire.OrganisationTotal) int { return cmp.Compare(a.GetOrganisation(), b.GetOrganisation()) })
+	return out
+}
+
+func (l *Ledger) restoreShares(totals []*wire.OrganisationTotal, shares []*wire.ShareState) {
+	for _, t := range totals {
+		l.allowance(t.GetOrganisation()).total = t.GetTokens()
+	}
+	for _, s := range shares {
+		a := l.allowance(s.GetOrganisation())
+		a.shares[shareKey{router: s.GetRouter(), incarnation: s.GetIncarnation()}] = s
+		a.out += s.GetGranted() - s.GetReturned()
+	}
+}
--- a/ledger/snapshot.go
+++ b/ledger/snapshot.go
@@ -22,6 +22,9 @@
 		Leases:         l.Leases(),
 		Configurations: l.configurations,
 		Replies:        l.replyOrder,
+		Site:           l.site,
+		Totals:         l.Totals(),
+		Shares:         l.Shares(),
 	}
 	for _, h := range slices.Sorted(maps.Keys(l.keys)) {
 		s.Keys = append(s.Keys, l.keys[h])
@@ -61,6 +64,8 @@
 	for _, r := range s.GetReservations() {
 		l.restoreReservation(r)
 	}
+	l.site = s.GetSite()
+	l.restoreShares(s.GetTotals(), s.GetShares())
 	heap.Init(&l.ends)
 	return l, l.Check()
 }
--- a/peer/directory.go
+++ b/peer/directory.go
@@ -53,6 +53,7 @@
 	old := d.entries[e.ID]
 	if old == nil {
 		d.set(e, nil)
+		d.replaceAt(e)
 		return
 	}
 	if !e.Newer(old.endpoint) && e.Sequence <= old.newestSequence {
@@ -113,6 +114,34 @@
 	d.set(old.endpoint.WithLeaving(), old)
 }
 
+// Leave takes an endpoint's word that it leaves. An endpoint that isn't known is
+// noted too, so that a late heartbeat doesn't bring it back.
+func (d *Directory) Leave(id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	old := d.entries[id]
+	if old == nil {
+		d.set(buckthornpin.Endpoint{ID: id, Leaving: true}, nil)
+		return
+	}
+	if !old.endpoint.Leaving {
+		left := old.endpoint.WithLeaving()
+		left.Sequence = old.newestSequence
+		d.set(left, old)
+	}
+}
+
+// replaceAt ends the entries of earlier processes at an endpoint's address. The
+// caller holds mu.
+func (d *Directory) replaceAt(e buckthornpin.Endpoint) {
+	for id, old := range d.entries {
+		o := old.endpoint
+		if id != e.ID && o.Address == e.Address && !o.Leaving && o.Incarnation > 0 && o.Incarnation < e.Incarnation {
+			d.set(o.WithLeaving(), old)
+		}
+	}
+}
+
 // set stores news and tells others of it. The caller holds mu.
 func (d *Directory) set(e buckthornpin.Endpoint, old *entry) {
 	if d.entries == nil {
--- /dev/null
+++ b/peer/mesh.go
@@ -0,0 +1,297 @@
+package peer
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/rs/zerolog"
+
+	"buckthornpin/route"
+	"buckthornpin/wire"
+)
+
+const (
+	// MeshInterval is the time between two rounds of a router. Loads of other
+	// routers are this old at most where all routers tell each other.
+	MeshInterval = 400 * time.Millisecond
+	// meshFull is the number of processes up to which each round tells all
+	// routers; with more, fanOut of them are drawn.
+	meshFull = 16
+	// slowRounds is how many rounds of a router one round of a control process
+	// takes, which has less to tell and less processor time.
+	slowRounds = 3
+	// meshCompareRounds is the number of rounds between two comparisons of
+	// digests.
+	meshCompareRounds = 8
+	// tellTimeout bounds one exchange.
+	tellTimeout = 800 * time.Millisecond
+)
+
+// Budgets is a router's part of the budgets, as other routers see it.
+type Budgets interface {
+	// Balances returns the unspent shares of this router.
+	Balances() []*wire.BalanceState
+	// TakeBalances notes those of another router.
+	TakeBalances(address string, incarnation int64, all []*wire.BalanceState)
+	// Donate hands a part of a share to another router.
+	Donate(r *wire.TransferRequest) *wire.TransferReply
+	// Accept takes what a stopping router hands over.
+	Accept(r *wire.GiveRequest)
+}
+
+// Mesh is what all processes of a site tell each other: who lives, news of
+// endpoints, and, among routers, what is under way and what is left of the
+// budgets. Its exported fields are set before Run.
+type Mesh struct {
+	Nodes     *Nodes
+	Directory *Directory
+	HTTP      *http.Client
+	Scheme    string
+	Options   []connect.ClientOption
+	// Seeds are addresses that are told as long as no other process is known.
+	Seeds func() []string
+	// Budgets and OwnLoads are nil in control processes.
+	Budgets  Budgets
+	OwnLoads func() map[string]route.Load
+	Log      zerolog.Logger
+
+	mu      sync.Mutex
+	clients map[string]wire.MeshClient
+	loads   map[string]routerLoads
+	rounds  int
+}
+
+// routerLoads is what a router has said to have under way.
+type routerLoads struct {
+	at        time.Time
+	endpoints map[string]route.Load
+}
+
+// loadsLast is how long what a router has under way counts after it was told.
+const loadsLast = 4 * MeshInterval
+
+// Run tells others until ctx ends.
+func (m *Mesh) Run(ctx context.Context) error {
+	interval := MeshInterval
+	if m.Nodes.Self.Control {
+		interval *= slowRounds
+	}
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		m.round(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+func (m *Mesh) round(ctx context.Context) {
+	now := time.Now()
+	m.Nodes.Round(now)
+	m.Directory.Sweep(now)
+	m.rounds++
+	targets := m.targets(now)
+	request := m.request(m.Directory.News())
+	var all sync.WaitGroup
+	for i, address := range targets {
+		r := request
+		if i == 0 && m.rounds%meshCompareRounds == 1 {
+			r = m.request(request.GetEndpoints())
+			r.Digest = m.Directory.Digest()
+		}
+		all.Go(func() { m.tell(ctx, address, r) })
+	}
+	all.Wait()
+}
+
+// targets are the processes that a round tells: routers tell all routers, or a
+// few of many, and now and then a control process; control processes tell a few.
+func (m *Mesh) targets(now time.Time) []string {
+	var out []string
+	if !m.Nodes.Self.Control {
+		out = draw(m.Nodes.Routers(now), fanOut)
+		if m.rounds%slowRounds != 1 {
+			return out
+		}
+		return append(out, m.someControl()...)
+	}
+	return draw(m.Nodes.Living(now), fanOut)
+}
+
+// someControl draws a control process, or all seeds while none is known.
+func (m *Mesh) someControl() []string {
+	controls := m.Nodes.Controls()
+	if len(controls) == 0 {
+		return m.Seeds()
+	}
+	return []string{controls[rand.IntN(len(controls))].Address}
+}
+
+func draw(nodes []Node, n int) []string {
+	rand.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
+	if len(nodes) > meshFull {
+		nodes = nodes[:n]
+	}
+	out := make([]string, 0, len(nodes))
+	for _, k := range nodes {
+		out = append(out, k.Address)
+	}
+	return out
+}
+
+func (m *Mesh) request(news []*wire.EndpointState) *wire.TellRequest {
+	r := &wire.TellRequest{
+		Vm: m.Nodes.Self.Address, Incarnation: m.Nodes.Self.Incarnation, Nodes: m.Nodes.States(), Endpoints: news,
+	}
+	if m.Budgets != nil {
+		r.Balances = m.Budgets.Balances()
+	}
+	if m.OwnLoads != nil {
+		for id, l := range m.OwnLoads() {
+			r.Loads = append(r.Loads, &wire.LoadState{Endpoint: id, Running: int32(l.Running), PromptTokens: l.PromptTokens})
+		}
+	}
+	return r
+}
+
+// tell tells one process. Where the digests differ each side tells the other all
+// that it knows.
+func (m *Mesh) tell(ctx context.Context, address string, r *wire.TellRequest) {
+	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+	defer cancel()
+	reply, err := m.client(address).Tell(ctx, r)
+	if err != nil {
+		return
+	}
+	m.Nodes.Merge(reply.GetNodes(), time.Now())
+	m.Directory.Merge(reply.GetEndpoints())
+	if reply.GetDiffers() {
+		_, _ = m.client(address).Tell(ctx, m.request(m.Directory.States()))
+	}
+}
+
+// Push tells news of endpoints to the living processes at once and waits until
+// they have them, or until ctx ends. With many processes a part of them is told,
+// and the rounds spread it.
+func (m *Mesh) Push(ctx context.Context) {
+	news := m.Directory.News()
+	if len(news) == 0 {
+		return
+	}
+	request := m.request(news)
+	var all sync.WaitGroup
+	for _, address := range draw(m.Nodes.Living(time.Now()), meshFull) {
+		all.Go(func() { m.tell(ctx, address, request) })
+	}
+	all.Wait()
+}
+
+// Tell implements wire.MeshHandler.
+func (m *Mesh) Tell(_ context.Context, r *wire.TellRequest) (*wire.TellReply, error) {
+	now := time.Now()
+	m.Nodes.Merge(r.GetNodes(), now)
+	m.Directory.Merge(r.GetEndpoints())
+	m.takeLoads(r, now)
+	if m.Budgets != nil && len(r.GetBalances()) > 0 {
+		m.Budgets.TakeBalances(r.GetVm(), r.GetIncarnation(), r.GetBalances())
+	}
+	reply := &wire.TellReply{}
+	if known := m.Nodes.States(); len(known) > len(r.GetNodes()) {
+		reply.Nodes = known
+	}
+	if r.GetDigest() != 0 && r.GetDigest() != m.Directory.Digest() {
+		reply.Endpoints, reply.Differs = m.Directory.States(), true
+	}
+	return reply, nil
+}
+
+func (m *Mesh) takeLoads(r *wire.TellRequest, now time.Time) {
+	if m.OwnLoads == nil {
+		return
+	}
+	l := routerLoads{at: now, endpoints: map[string]route.Load{}}
+	for _, e := range r.GetLoads() {
+		l.endpoints[e.GetEndpoint()] = route.Load{Running: int(e.GetRunning()), PromptTokens: e.GetPromptTokens()}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.loads == nil {
+		m.loads = map[string]routerLoads{}
+	}
+	m.loads[r.GetVm()] = l
+}
+
+// Others returns what the other routers have under way at an endpoint.
+func (m *Mesh) Others(endpoint string) route.Load {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out route.Load
+	for address, l := range m.loads {
+		if time.Since(l.at) > loadsLast {
+			delete(m.loads, address)
+			continue
+		}
+		out.Running += l.endpoints[endpoint].Running
+		out.PromptTokens += l.endpoints[endpoint].PromptTokens
+	}
+	return out
+}
+
+// Transfer implements wire.MeshHandler.
+func (m *Mesh) Transfer(_ context.Context, r *wire.TransferRequest) (*wire.TransferReply, error) {
+	if m.Budgets == nil {
+		return &wire.TransferReply{}, nil
+	}
+	return m.Budgets.Donate(r), nil
+}
+
+// Give implements wire.MeshHandler.
+func (m *Mesh) Give(_ context.Context, r *wire.GiveRequest) (*wire.GiveReply, error) {
+	if m.Budgets != nil {
+		m.Budgets.Accept(r)
+	}
+	return &wire.GiveReply{Incarnation: m.Nodes.Self.Incarnation}, nil
+}
+
+// AskTransfer asks another router for a part of its share.
+func (m *Mesh) AskTransfer(ctx context.Context, address string, r *wire.TransferRequest) (*wire.TransferReply, error) {
+	reply, err := m.client(address).Transfer(ctx, r)
+	if err != nil {
+		return nil, &Error{Op: "transfer", Kind: KindUnreachable, Err: err}
+	}
+	return reply, nil
+}
+
+// HandOver gives a part of this router's share to another one.
+func (m *Mesh) HandOver(ctx context.Context, address string, r *wire.GiveRequest) error {
+	if _, err := m.client(address).Give(ctx, r); err != nil {
+		return &Error{Op: "give", Kind: KindUnreachable, Err: err}
+	}
+	return nil
+}
+
+// Register adds the service's handlers to mux.
+func (m *Mesh) Register(mux *http.ServeMux, opts ...connect.HandlerOption) {
+	mux.Handle(wire.NewMeshHandler(m, opts...))
+}
+
+func (m *Mesh) client(address string) wire.MeshClient {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.clients == nil {
+		m.clients = map[string]wire.MeshClient{}
+	}
+	c, ok := m.clients[address]
+	if !ok {
+		c = wire.NewMeshClient(m.HTTP, m.Scheme+"://"+address, m.Options...)
+		m.clients[address] = c
+	}
+	return c
+}
--- a/quorum/progress.go
+++ b/quorum/progress.go
@@ -19,6 +19,8 @@
 	probing bool
 	// snapshotAge counts heartbeats since the snapshot was sent.
 	snapshotAge int
+	// silent counts heartbeats without a reply.
+	silent int
 }
 
 // trackFollowers keeps a progress for each other member.
@@ -48,6 +50,14 @@
 	return 0
 }
 
+// Silent returns how many heartbeats a follower has left without a reply.
+func (n *Node) Silent(id string) int {
+	if p := n.followed[id]; p != nil {
+		return p.silent
+	}
+	return 0
+}
+
 // heartbeat starts a round that each follower answers.
 func (n *Node) heartbeat() {
 	n.round++
@@ -64,6 +74,7 @@
 			p.inflight--
 		}
 		p.snapshotAge++
+		p.silent++
 		if p.snapshotAge > snapshotHeartbeats {
 			p.snapshot = 0
 		}
@@ -155,6 +166,7 @@
 		return
 	}
 	p.active = true
+	p.silent = 0
 	p.round = max(p.round, m.GetRound())
 	if p.inflight > 0 {
 		p.inflight--
--- /dev/null
+++ b/relay/attempt.go
@@ -0,0 +1,142 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+
+	"buckthornpin"
+)
+
+// attempt sends the request to one endpoint. It reports whether the request has
+// its final answer.
+func (f *flight) attempt(ctx context.Context, e *buckthornpin.Endpoint) bool {
+	run := f.router.tracker.Start(e.ID, f.work(), time.Now())
+	defer run.End()
+	sendCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	a, err := f.router.Endpoints.Send(sendCtx, f.dispatch(e))
+	if err != nil {
+		f.failed(ctx, e, err)
+		return false
+	}
+	defer func() { _ = a.Body.Close() }()
+	f.sent++
+	if a.OtherEndpoint {
+		f.router.Directory.MarkLeaving(e.ID, e.Incarnation)
+	}
+	if a.NotRun || a.OtherEndpoint {
+		f.log("not_run").Str("endpoint", e.ID).Int("status", a.Status).Msg("endpoint didn't run the request")
+		return false
+	}
+	f.ran = true
+	if !a.Signed {
+		return f.unsigned(e, a)
+	}
+	if a.Status >= 500 && f.route.Repeatable() && f.mayRepeat() {
+		f.log("endpoint_error").Str("endpoint", e.ID).Int("status", a.Status).Msg("endpoint failed, trying another one")
+		return false
+	}
+	return f.deliver(ctx, e, a, run.Begun)
+}
+
+// mayRepeat reports whether another attempt is allowed, without taking it from
+// the retry budget.
+func (f *flight) mayRepeat() bool {
+	return f.sent < f.route.MaxAttempts && f.router.Retries.Has(f.service.Name) && time.Until(f.deadline) > f.route.Objective/coverWait
+}
+
+func (f *flight) dispatch(e *buckthornpin.Endpoint) Dispatch {
+	d := Dispatch{Request: f.request, Endpoint: e, Deadline: f.deadline, Priority: f.route.Priority, LastEvent: f.request.LastEvent}
+	if f.owner != nil {
+		d.Organisation = f.owner.Name
+	}
+	if f.events.lastID != "" {
+		d.LastEvent = f.events.lastID
+	}
+	return d
+}
+
+// failed notes an attempt without an answer.
+func (f *flight) failed(ctx context.Context, e *buckthornpin.Endpoint, err error) {
+	if ctx.Err() == nil {
+		f.router.tracker.Failed(e.ID, time.Now())
+	}
+	if !notSent(err) {
+		f.sent++
+		f.ran = true
+		if !f.route.Repeatable() {
+			f.sent = max(f.sent, f.route.MaxAttempts)
+		}
+	}
+	f.log("attempt_failed").Str("endpoint", e.ID).Err(err).Msg("attempt got no answer")
+}
+
+// unsigned handles an answer that isn't an endpoint's: it never reaches the
+// caller.
+func (f *flight) unsigned(e *buckthornpin.Endpoint, a *Answer) bool {
+	f.log("unsigned").Str("endpoint", e.ID).Int("status", a.Status).Msg("answer bears no signature")
+	if !f.route.Repeatable() {
+		f.sent = max(f.sent, f.route.MaxAttempts)
+	}
+	return false
+}
+
+// bodyBuffer is the size of the buffer by which an answer is passed on.
+const bodyBuffer = 8 << 10
+
+// deliver passes an answer on. Streams are passed on event by event, plain
+// answers as a whole, so that one that breaks can be tried elsewhere.
+func (f *flight) deliver(ctx context.Context, e *buckthornpin.Endpoint, a *Answer, begun func()) bool {
+	if isStream(a) {
+		return f.stream(ctx, e, a, begun)
+	}
+	body, err := io.ReadAll(io.LimitReader(a.Body, maxPlainBytes))
+	if err != nil {
+		f.router.tracker.Failed(e.ID, time.Now())
+		f.log("broken").Str("endpoint", e.ID).Err(err).Msg("answer broke off")
+		if !f.route.Repeatable() {
+			f.sent = max(f.sent, f.route.MaxAttempts)
+		}
+		return false
+	}
+	begun()
+	f.router.tracker.Succeeded(e.ID, a.Status)
+	f.reply.Begin(a.Status, a.Header, int64(len(body)))
+	if err := f.reply.Write(body); err != nil {
+		f.done("caller_gone", e)
+		return true
+	}
+	f.done("answered", e)
+	return true
+}
+
+// maxPlainBytes bounds an answer that isn't a stream.
+const maxPlainBytes = 16 << 20
+
+func (f *flight) done(outcome string, e *buckthornpin.Endpoint) {
+	f.outcome = outcome
+	f.log(outcome).Str("endpoint", e.ID).Int64("events", f.events.delivered).Msg("request has ended")
+}
+
+// log begins a line on a decision about the request.
+func (f *flight) log(outcome string) *zerolog.Event {
+	l := f.router.Log.Info().Str("request", f.request.ID).Str("outcome", outcome).
+		Int64("age_ms", time.Since(f.request.Arrived).Milliseconds()).Int("sent", f.sent)
+	if f.table != nil {
+		l = l.Int64("version", f.table.Version)
+	}
+	if f.route != nil {
+		l = l.Str("route", f.route.Name)
+	}
+	if f.owner != nil {
+		l = l.Str("organisation", f.owner.Name)
+	}
+	return l
+}
+
+// errPartial is a stream that ended within an event.
+var errPartial = errors.New("stream ended within an event")
--- /dev/null
+++ b/relay/flight.go
@@ -0,0 +1,213 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"buckthornpin"
+	"buckthornpin/route"
+	"buckthornpin/site"
+)
+
+// flight is one request on its way.
+type flight struct {
+	router  *Router
+	request *Request
+	reply   Reply
+	table   *site.Table
+	route   *site.Route
+	service *site.Service
+	owner   *site.Organisation
+	// deadline is the earlier one of the caller's and the route's.
+	deadline time.Time
+	// reserved are tokens held for the request; 0 where it isn't charged.
+	reserved int64
+	// sent counts the endpoints that the request was sent to.
+	sent  int
+	tried map[string]bool
+	// ran says that an endpoint may have run the request.
+	ran     bool
+	outcome string
+	events  eventCount
+}
+
+// eventCount is what a stream has delivered.
+type eventCount struct {
+	delivered int64
+	lastID    string
+	// begun says that the head of the answer was sent.
+	begun bool
+}
+
+func (f *flight) run(ctx context.Context) {
+	if !f.admit() {
+		return
+	}
+	if f.request.Deadline.IsZero() || f.request.Deadline.After(f.request.Arrived.Add(f.route.Timeout)) {
+		f.deadline = f.request.Arrived.Add(f.route.Timeout)
+	} else {
+		f.deadline = f.request.Deadline
+	}
+	ctx, cancel := context.WithDeadline(ctx, f.deadline)
+	defer cancel()
+	if !f.cover(ctx) {
+		return
+	}
+	defer f.settle()
+	f.router.Retries.First(f.service.Name)
+	f.attempts(ctx)
+}
+
+// admit finds the request's route, service and organisation.
+func (f *flight) admit() bool {
+	q := f.request
+	if f.table = f.router.Site(); f.table == nil {
+		f.refuse(ReasonNoConfiguration, time.Second)
+		return false
+	}
+	if f.route = f.table.Route(q.Host, q.Path); f.route == nil {
+		f.refuse(ReasonNoRoute, 0)
+		return false
+	}
+	if !f.route.Anonymous && f.table.HasOrganisations() {
+		if f.owner = f.table.KeyOwner(q.Key); f.owner == nil {
+			f.refuse(ReasonUnknownKey, 0)
+			return false
+		}
+	}
+	f.service = f.table.Service(f.route.Pick(fraction(q.ID)))
+	return true
+}
+
+// coverWait bounds the wait for shares of other routers, as a part of the
+// route's objective: what is left has to do for the answer itself.
+const coverWait = 4
+
+// cover reserves the most that the request can cost.
+func (f *flight) cover(ctx context.Context) bool {
+	if f.owner == nil || f.owner.Prepaid == site.Unlimited || f.service.Engine == nil {
+		return true
+	}
+	most := f.request.Prompt.Tokens + f.request.Prompt.MaxOutput
+	ctx, cancel := context.WithTimeout(ctx, f.route.Objective/coverWait)
+	defer cancel()
+	switch f.router.Funds.Reserve(ctx, f.owner.Name, most) {
+	case Covered:
+		f.reserved = most
+		return true
+	case Spent:
+		f.refuse(ReasonBudgetSpent, 0)
+	default:
+		f.refuse(ReasonBudgetElsewhere, f.retryAfter(time.Second))
+	}
+	return false
+}
+
+// settle charges the prompt once if the request may have run, and the output
+// that was delivered.
+func (f *flight) settle() {
+	if f.reserved == 0 {
+		return
+	}
+	spent := int64(0)
+	if f.ran {
+		spent = f.request.Prompt.Tokens + f.events.delivered*f.service.Engine.EventTokens
+	}
+	f.router.Funds.Settle(f.owner.Name, f.reserved, min(spent, f.reserved))
+}
+
+// attempts sends the request to one endpoint after the other as long as it may
+// be tried again.
+func (f *flight) attempts(ctx context.Context) {
+	f.tried = map[string]bool{}
+	for {
+		e := f.choose()
+		if e == nil {
+			f.noEndpoint()
+			return
+		}
+		f.tried[e.ID] = true
+		if f.attempt(ctx, e) {
+			return
+		}
+		if ctx.Err() != nil {
+			f.giveUp(ctx)
+			return
+		}
+		if f.sent > 0 && (f.sent >= f.route.MaxAttempts || !f.router.Retries.Take(f.service.Name)) {
+			f.giveUp(ctx)
+			return
+		}
+	}
+}
+
+// choose picks an endpoint that hasn't been tried.
+func (f *flight) choose() *buckthornpin.Endpoint {
+	r := f.router
+	all := r.Directory.Serving(buckthornpin.Target{Service: f.service.Name})
+	candidates := make([]route.Engine, 0, len(all))
+	for _, e := range all {
+		if e.Leaving || e.Dead || f.tried[e.ID] {
+			continue
+		}
+		candidates = append(candidates, route.Engine{Endpoint: e, Others: r.Loads.Others(e.ID)})
+	}
+	return r.tracker.Choose(candidates, f.work(), r.Zone, time.Now())
+}
+
+// work describes the request to the choice of an endpoint.
+func (f *flight) work() route.Work {
+	w := route.Work{Tokens: f.request.Prompt.Tokens, Model: f.service.Engine != nil}
+	for _, p := range f.request.Prompt.Parts {
+		w.Parts = append(w.Parts, route.Part{ID: p.ID, Tokens: p.Tokens})
+	}
+	return w
+}
+
+func (f *flight) noEndpoint() {
+	switch {
+	case f.ran:
+		f.refuse(ReasonBroken, 0)
+	case f.sent > 0:
+		f.refuse(ReasonFull, f.retryAfter(time.Second))
+	default:
+		f.refuse(ReasonNoEndpoint, f.retryAfter(time.Second))
+	}
+}
+
+// giveUp sends the final answer of a request that no endpoint has answered.
+func (f *flight) giveUp(ctx context.Context) {
+	late := ctx.Err() != nil
+	switch {
+	case f.ran && late:
+		f.refuse(ReasonNoAnswer, 0)
+	case f.ran:
+		f.refuse(ReasonBroken, 0)
+	case late:
+		f.refuse(ReasonTimeout, 0)
+	default:
+		f.refuse(ReasonFull, f.retryAfter(time.Second))
+	}
+}
+
+// retryAfterShare is the part of the caller's remaining time that a wait may
+// take: callers honour no longer one.
+const retryAfterShare = 3
+
+// retryAfter bounds a wait by the part of the caller's time that it honours.
+func (f *flight) retryAfter(d time.Duration) time.Duration {
+	if f.request.Deadline.IsZero() {
+		return d
+	}
+	return max(min(d, time.Until(f.request.Deadline)/retryAfterShare), 0)
+}
+
+func (f *flight) refuse(reason Reason, after time.Duration) {
+	f.outcome = string(reason)
+	f.log(string(reason)).Dur("retry_after_ms", after).Msg("request was refused")
+	if f.begun() {
+		f.reply.Break()
+		return
+	}
+	f.reply.Refuse(Refusal{Reason: reason, RetryAfter: after})
+}
--- /dev/null
+++ b/relay/metrics.go
@@ -0,0 +1,71 @@
+package relay
+
+import (
+	"expvar"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	// longestMS is the longest latency that a histogram holds, in milliseconds.
+	longestMS = 60_000
+	// histogramDigits is the precision of latencies.
+	histogramDigits = 2
+)
+
+// metrics counts outcomes and holds a histogram of latency for each route kind.
+type metrics struct {
+	mu       sync.Mutex
+	outcomes map[string]int64
+	latency  map[string]*hdrhistogram.Histogram
+}
+
+func (m *metrics) observe(f *flight, took time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.outcomes == nil {
+		m.outcomes = map[string]int64{}
+		m.latency = map[string]*hdrhistogram.Histogram{}
+	}
+	m.outcomes[f.outcome]++
+	if f.route == nil {
+		return
+	}
+	kind := string(f.route.Kind)
+	h := m.latency[kind]
+	if h == nil {
+		h = hdrhistogram.New(1, longestMS, histogramDigits)
+		m.latency[kind] = h
+	}
+	_ = h.RecordValue(min(max(took.Milliseconds(), 1), longestMS))
+}
+
+// latencySummary is what the metrics address shows of a histogram.
+type latencySummary struct {
+	Count int64 `json:"count"`
+	P50MS int64 `json:"p50_ms"`
+	P95MS int64 `json:"p95_ms"`
+	P99MS int64 `json:"p99_ms"`
+	MaxMS int64 `json:"max_ms"`
+}
+
+func (m *metrics) variables() expvar.Var {
+	return expvar.Func(func() any {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		outcomes := map[string]int64{}
+		for k, v := range m.outcomes {
+			outcomes[k] = v
+		}
+		latency := map[string]latencySummary{}
+		for k, h := range m.latency {
+			latency[k] = latencySummary{
+				Count: h.TotalCount(), P50MS: h.ValueAtQuantile(50), P95MS: h.ValueAtQuantile(95),
+				P99MS: h.ValueAtQuantile(99), MaxMS: h.Max(),
+			}
+		}
+		return map[string]any{"outcomes": outcomes, "latency": latency}
+	})
+}
--- /dev/null
+++ b/relay/stream.go
@@ -0,0 +1,144 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"buckthornpin"
+)
+
+const (
+	contentType = "Content-Type"
+	// eventStream is the media type of streams (WHATWG HTML, section 9.2).
+	eventStream = "text/event-stream"
+	// maxEventBytes bounds one event of a stream.
+	maxEventBytes = 1 << 20
+)
+
+func isStream(a *Answer) bool {
+	return strings.HasPrefix(a.Header.Get(contentType), eventStream)
+}
+
+// stream passes events on as they come, whole ones only. A stream that breaks
+// goes on at another endpoint where the route allows it, and else the caller's
+// connection is broken, so that the answer doesn't look complete.
+func (f *flight) stream(ctx context.Context, e *buckthornpin.Endpoint, a *Answer, begun func()) bool {
+	err := f.pass(e, a, begun)
+	if err == nil {
+		f.router.tracker.Succeeded(e.ID, a.Status)
+		f.finish(e)
+		return true
+	}
+	if errors.Is(err, errCaller) {
+		f.done("caller_gone", e)
+		return true
+	}
+	if ctx.Err() != nil {
+		f.breakOff("timeout_or_gone", e, err)
+		return true
+	}
+	f.router.tracker.Failed(e.ID, time.Now())
+	if f.route.Resumable && f.sent < f.route.MaxAttempts {
+		f.log("resuming").Str("endpoint", e.ID).Str("last_event", f.events.lastID).Err(err).Msg("stream broke off")
+		return false
+	}
+	if !f.begun() {
+		f.sent = max(f.sent, f.route.MaxAttempts)
+		return false
+	}
+	f.breakOff("broken", e, err)
+	return true
+}
+
+func (f *flight) begun() bool { return f.events.begun }
+
+func (f *flight) breakOff(outcome string, e *buckthornpin.Endpoint, err error) {
+	f.outcome = outcome
+	f.log(outcome).Str("endpoint", e.ID).Int64("events", f.events.delivered).Err(err).Msg("stream was broken off")
+	if !f.begun() {
+		f.giveUpLate()
+		return
+	}
+	f.reply.Break()
+}
+
+// giveUpLate answers a request whose stream brought nothing in time.
+func (f *flight) giveUpLate() { f.refuse(ReasonNoAnswer, 0) }
+
+// finish ends a complete stream; one without an event still has its head sent.
+func (f *flight) finish(e *buckthornpin.Endpoint) { f.done("answered", e) }
+
+// errCaller is a caller that no longer takes its answer.
+var errCaller = errors.New("caller is gone")
+
+// pass passes the whole events of one run on.
+func (f *flight) pass(e *buckthornpin.Endpoint, a *Answer, begun func()) error {
+	buf := make([]byte, 0, bodyBuffer)
+	part := make([]byte, bodyBuffer)
+	for {
+		n, err := a.Body.Read(part)
+		buf = append(buf, part[:n]...)
+		end := bytes.LastIndex(buf, eventEnd) + len(eventEnd)
+		if end >= len(eventEnd) {
+			begun()
+			if err := f.passEvents(a, buf[:end]); err != nil {
+				return err
+			}
+			buf = append(buf[:0], buf[end:]...)
+		}
+		switch {
+		case errors.Is(err, io.EOF) && len(buf) > 0:
+			return errPartial
+		case errors.Is(err, io.EOF):
+			f.beginOnce(a)
+			return nil
+		case err != nil:
+			return err
+		case len(buf) > maxEventBytes:
+			return errors.New("event is too long")
+		}
+	}
+}
+
+// eventEnd is the empty line behind each event.
+var eventEnd = []byte("\n\n")
+
+func (f *flight) beginOnce(a *Answer) {
+	if !f.events.begun {
+		f.events.begun = true
+		f.reply.Begin(a.Status, a.Header, a.Length)
+	}
+}
+
+// passEvents passes whole events on.
+func (f *flight) passEvents(a *Answer, events []byte) error {
+	f.beginOnce(a)
+	for _, event := range bytes.SplitAfter(events, eventEnd) {
+		if len(event) == 0 {
+			continue
+		}
+		f.events.delivered++
+		if id, ok := eventID(event); ok {
+			f.events.lastID = id
+		}
+	}
+	if err := f.reply.Write(events); err != nil {
+		return errors.Join(errCaller, err)
+	}
+	return nil
+}
+
+// eventID returns the id line of an event.
+func eventID(event []byte) (string, bool) {
+	for _, line := range bytes.Split(event, []byte("\n")) {
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			return string(bytes.TrimSpace(value)), true
+		}
+	}
+	return "", false
+}
--- /dev/null
+++ b/route/tracker.go
@@ -0,0 +1,258 @@
+package route
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"buckthornpin"
+)
+
+// Load is what is under way at an endpoint.
+type Load struct {
+	// Running counts requests.
+	Running int
+	// PromptTokens are tokens of prompts that the endpoint still has to read.
+	PromptTokens int64
+}
+
+// Engine is an endpoint and what other routers have under way there.
+type Engine struct {
+	Endpoint *buckthornpin.Endpoint
+	Others   Load
+}
+
+// Part is a part of a prompt; endpoints keep parts that they have read.
+type Part struct {
+	ID     string
+	Tokens int64
+}
+
+// Work is what a request asks of an endpoint.
+type Work struct {
+	// Model says that the endpoint is a model engine.
+	Model bool
+	// Tokens is the length of the prompt.
+	Tokens int64
+	// Parts are the prompt's parts; the last one belongs to this request alone.
+	Parts []Part
+}
+
+const (
+	// runningTokens is what one running request delays others by, in tokens of
+	// prompt: a step of a batch takes about as long as reading this many.
+	runningTokens = 300
+	// plainTokens is the weight of one request at a plain service.
+	plainTokens = 1000
+	// otherZoneTokens is what a move to another zone has to save.
+	otherZoneTokens = 100
+	// failurePause is how long an endpoint is avoided after its first failure;
+	// it doubles with each further one in a row.
+	failurePause = 250 * time.Millisecond
+	// longestPause bounds the pause.
+	longestPause = 4 * time.Second
+	// rememberParts bounds the parts that are remembered of one endpoint.
+	rememberParts = 512
+)
+
+// Tracker is what one router knows of endpoints from its own requests. Times are
+// passed in. It is safe for concurrent use; its zero value is ready.
+type Tracker struct {
+	mu      sync.Mutex
+	engines map[string]*engineState
+}
+
+type engineState struct {
+	load     Load
+	failures int
+	until    time.Time
+	parts    map[string]time.Time
+}
+
+// Run is a request under way at an endpoint.
+type Run struct {
+	tracker  *Tracker
+	endpoint string
+	tokens   int64
+	ended    bool
+}
+
+func (t *Tracker) state(id string) *engineState {
+	if t.engines == nil {
+		t.engines = map[string]*engineState{}
+	}
+	s := t.engines[id]
+	if s == nil {
+		s = &engineState{parts: map[string]time.Time{}}
+		t.engines[id] = s
+	}
+	return s
+}
+
+// Start notes that a request is sent to an endpoint.
+func (t *Tracker) Start(id string, w Work, now time.Time) *Run {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.state(id)
+	r := &Run{tracker: t, endpoint: id, tokens: s.missing(w)}
+	s.load.Running++
+	s.load.PromptTokens += r.tokens
+	for _, p := range w.Parts {
+		s.parts[p.ID] = now
+	}
+	s.forgetOldest()
+	return r
+}
+
+// forgetOldest keeps the number of remembered parts bounded.
+func (s *engineState) forgetOldest() {
+	for len(s.parts) > rememberParts {
+		oldest, at := "", time.Time{}
+		for id, seen := range s.parts {
+			if oldest == "" || seen.Before(at) {
+				oldest, at = id, seen
+			}
+		}
+		delete(s.parts, oldest)
+	}
+}
+
+// missing returns the tokens of a prompt that the endpoint isn't known to keep.
+// A part is of use only if all parts before it are kept too.
+func (s *engineState) missing(w Work) int64 {
+	left := w.Tokens
+	for _, p := range w.Parts {
+		if _, ok := s.parts[p.ID]; !ok {
+			break
+		}
+		left -= p.Tokens
+	}
+	return max(left, 0)
+}
+
+// Begun notes that the endpoint has read the prompt.
+func (r *Run) Begun() {
+	r.tracker.mu.Lock()
+	defer r.tracker.mu.Unlock()
+	r.tracker.state(r.endpoint).load.PromptTokens -= r.tokens
+	r.tokens = 0
+}
+
+// End notes that the request is no longer under way.
+func (r *Run) End() {
+	r.Begun()
+	r.tracker.mu.Lock()
+	defer r.tracker.mu.Unlock()
+	if r.ended {
+		return
+	}
+	r.ended = true
+	r.tracker.state(r.endpoint).load.Running--
+}
+
+// Failed notes that the endpoint didn't answer as it should: it is avoided for a
+// while, and what it kept counts as lost.
+func (t *Tracker) Failed(id string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.state(id)
+	pause := min(failurePause<<min(s.failures, 10), longestPause)
+	s.failures++
+	s.until = now.Add(pause)
+}
+
+// Succeeded notes a whole answer.
+func (t *Tracker) Succeeded(id string, status int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if status < 500 {
+		t.state(id).failures = 0
+	}
+}
+
+// Loads returns what is under way, by endpoint.
+func (t *Tracker) Loads() map[string]Load {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := map[string]Load{}
+	for id, s := range t.engines {
+		if s.load.Running > 0 {
+			out[id] = s.load
+		}
+	}
+	return out
+}
+
+// Choose returns the endpoint at which the request is expected to begin first,
+// nil where there is none. Endpoints that failed lately come last.
+func (t *Tracker) Choose(all []Engine, w Work, zone string, now time.Time) *buckthornpin.Endpoint {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var best *buckthornpin.Endpoint
+	var bestCost int64
+	var bestRank uint64
+	home := homeOf(all, w)
+	for _, e := range all {
+		s := t.state(e.Endpoint.ID)
+		cost := s.cost(e, w, e.Endpoint.ID == home)
+		if e.Endpoint.Zone != zone {
+			cost += otherZoneTokens
+		}
+		if now.Before(s.until) {
+			cost += 1 << 40
+		}
+		rank := rankOf(e.Endpoint.ID, w)
+		if best == nil || cost < bestCost || cost == bestCost && rank > bestRank {
+			best, bestCost, bestRank = e.Endpoint, cost, rank
+		}
+	}
+	return best
+}
+
+// cost is the work before the request at an endpoint and its own, in tokens of
+// prompt. The home of a prompt's shared parts is expected to keep them, as other
+// routers send there too.
+func (s *engineState) cost(e Engine, w Work, home bool) int64 {
+	running := int64(s.load.Running + e.Others.Running)
+	if !w.Model {
+		return running * plainTokens / int64(max(e.Endpoint.Capacity, 1))
+	}
+	own := s.missing(w)
+	if home {
+		own = min(own, ownTokens(w))
+	}
+	return own + s.load.PromptTokens + e.Others.PromptTokens + running*runningTokens
+}
+
+// ownTokens is the part of a prompt that no other request shares.
+func ownTokens(w Work) int64 {
+	if len(w.Parts) == 0 {
+		return w.Tokens
+	}
+	return w.Parts[len(w.Parts)-1].Tokens
+}
+
+// homeOf returns the endpoint that all routers prefer for the deepest shared
+// part of a prompt: the one of highest rank (rendezvous hashing).
+func homeOf(all []Engine, w Work) string {
+	if len(w.Parts) < 2 {
+		return ""
+	}
+	home, rank := "", uint64(0)
+	for _, e := range all {
+		if r := rankOf(e.Endpoint.ID, w); home == "" || r > rank {
+			home, rank = e.Endpoint.ID, r
+		}
+	}
+	return home
+}
+
+// rankOf orders endpoints for the deepest shared part of a prompt.
+func rankOf(id string, w Work) uint64 {
+	subject := ""
+	if n := len(w.Parts); n > 1 {
+		subject = w.Parts[n-2].ID
+	}
+	return xxhash.Sum64String(subject + "/" + id)
+}
--- /dev/null
+++ b/site/error.go
@@ -0,0 +1,12 @@
+package site
+
+import "buckthornpin"
+
+// ErrorKind classifies the errors of this package.
+type ErrorKind string
+
+// KindInvalid is a configuration that can't be put in force.
+const KindInvalid ErrorKind = "invalid"
+
+// Error is the error type of this package.
+type Error = buckthornpin.OpError[ErrorKind]
--- a/wire/wire.connect.go
+++ b/wire/wire.connect.go
@@ -27,6 +27,8 @@
 	ControlName = "buckthornpin.wire.Control"
 	// PeersName is the fully-qualified name of the Peers service.
 	PeersName = "buckthornpin.wire.Peers"
+	// MeshName is the fully-qualified name of the Mesh service.
+	MeshName = "buckthornpin.wire.Mesh"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -47,12 +49,20 @@
 	ControlInspectProcedure = "/buckthornpin.wire.Control/Inspect"
 	// ControlChangeMembersProcedure is the fully-qualified name of the Control's ChangeMembers RPC.
 	ControlChangeMembersProcedure = "/buckthornpin.wire.Control/ChangeMembers"
+	// ControlJoinProcedure is the fully-qualified name of the Control's Join RPC.
+	ControlJoinProcedure = "/buckthornpin.wire.Control/Join"
 	// PeersHoldsProcedure is the fully-qualified name of the Peers's Holds RPC.
 	PeersHoldsProcedure = "/buckthornpin.wire.Peers/Holds"
 	// PeersAttachProcedure is the fully-qualified name of the Peers's Attach RPC.
 	PeersAttachProcedure = "/buckthornpin.wire.Peers/Attach"
 	// PeersExchangeProcedure is the fully-qualified name of the Peers's Exchange RPC.
 	PeersExchangeProcedure = "/buckthornpin.wire.Peers/Exchange"
+	// MeshTellProcedure is the fully-qualified name of the Mesh's Tell RPC.
+	MeshTellProcedure = "/buckthornpin.wire.Mesh/Tell"
+	// MeshTransferProcedure is the fully-qualified name of the Mesh's Transfer RPC.
+	MeshTransferProcedure = "/buckthornpin.wire.Mesh/Transfer"
+	// MeshGiveProcedure is the fully-qualified name of the Mesh's Give RPC.
+	MeshGiveProcedure = "/buckthornpin.wire.Mesh/Give"
 )
 
 // ReplicasClient is a client for the buckthornpin.wire.Replicas service.
@@ -131,6 +141,7 @@
 	Sync(context.Context, *SyncRequest) (*SyncReply, error)
 	Inspect(context.Context, *InspectRequest) (*InspectReply, error)
 	ChangeMembers(context.Context, *ChangeMembersRequest) (*ChangeMembersReply, error)
+	Join(context.Context, *JoinRequest) (*JoinReply, error)
 }
 
 // NewControlClient constructs a client for the buckthornpin.wire.Control service. By default, it
@@ -168,6 +179,12 @@
 			connect.WithSchema(controlMethods.ByName("ChangeMembers")),
 			connect.WithClientOptions(opts...),
 		),
+		join: connect.NewClient[JoinRequest, JoinReply](
+			httpClient,
+			baseURL+ControlJoinProcedure,
+			connect.WithSchema(controlMethods.ByName("Join")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -177,6 +194,7 @@
 	sync          *connect.Client[SyncRequest, SyncReply]
 	inspect       *connect.Client[InspectRequest, InspectReply]
 	changeMembers *connect.Client[ChangeMembersRequest, ChangeMembersReply]
+	join          *connect.Client[JoinRequest, JoinReply]
 }
 
 // Execute calls buckthornpin.wire.Control.Execute.
@@ -215,12 +233,22 @@
 	return nil, err
 }
 
+// Join calls buckthornpin.wire.Control.Join.
+func (c *controlClient) Join(ctx context.Context, req *JoinRequest) (*JoinReply, error) {
+	response, err := c.join.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // ControlHandler is an implementation of the buckthornpin.wire.Control service.
 type ControlHandler interface {
 	Execute(context.Context, *ExecuteRequest) (*ExecuteReply, error)
 	Sync(context.Context, *SyncRequest) (*SyncReply, error)
 	Inspect(context.Context, *InspectRequest) (*InspectReply, error)
 	ChangeMembers(context.Context, *ChangeMembersRequest) (*ChangeMembersReply, error)
+	Join(context.Context, *JoinRequest) (*JoinReply, error)
 }
 
 // NewControlHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -254,6 +282,12 @@
 		connect.WithSchema(controlMethods.ByName("ChangeMembers")),
 		connect.WithHandlerOptions(opts...),
 	)
+	controlJoinHandler := connect.NewUnaryHandlerSimple(
+		ControlJoinProcedure,
+		svc.Join,
+		connect.WithSchema(controlMethods.ByName("Join")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/buckthornpin.wire.Control/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case ControlExecuteProcedure:
@@ -264,6 +298,8 @@
 			controlInspectHandler.ServeHTTP(w, r)
 		case ControlChangeMembersProcedure:
 			controlChangeMembersHandler.ServeHTTP(w, r)
+		case ControlJoinProcedure:
+			controlJoinHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -289,6 +325,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("buckthornpin.wire.Control.ChangeMembers is not implemented"))
 }
 
+func (UnimplementedControlHandler) Join(context.Context, *JoinRequest) (*JoinReply, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("buckthornpin.wire.Control.Join is not implemented"))
+}
+
 // PeersClient is a client for the buckthornpin.wire.Peers service.
 type PeersClient interface {
 	Holds(context.Context, *HoldsRequest) (*HoldsReply, error)
@@ -418,3 +458,139 @@
 func (UnimplementedPeersHandler) Exchange(context.Context, *ExchangeRequest) (*ExchangeReply, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("buckthornpin.wire.Peers.Exchange is not implemented"))
 }
+
+// MeshClient is a client for the buckthornpin.wire.Mesh service.
+type MeshClient interface {
+	Tell(context.Context, *TellRequest) (*TellReply, error)
+	Transfer(context.Context, *TransferRequest) (*TransferReply, error)
+	// Give hands tokens over at a router's stop.
+	Give(context.Context, *GiveRequest) (*GiveReply, error)
+}
+
+// NewMeshClient constructs a client for the buckthornpin.wire.Mesh service. By default, it uses the
+// Connect protocol with the binary Protobuf Codec, asks for gzipped responses, and sends
+// uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the connect.WithGRPC() or
+// connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewMeshClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) MeshClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	meshMethods := File_wire_proto.Services().ByName("Mesh").Methods()
+	return &meshClient{
+		tell: connect.NewClient[TellRequest, TellReply](
+			httpClient,
+			baseURL+MeshTellProcedure,
+			connect.WithSchema(meshMethods.ByName("Tell")),
+			connect.WithClientOptions(opts...),
+		),
+		transfer: connect.NewClient[TransferRequest, TransferReply](
+			httpClient,
+			baseURL+MeshTransferProcedure,
+			connect.WithSchema(meshMethods.ByName("Transfer")),
+			connect.WithClientOptions(opts...),
+		),
+		give: connect.NewClient[GiveRequest, GiveReply](
+			httpClient,
+			baseURL+MeshGiveProcedure,
+			connect.WithSchema(meshMethods.ByName("Give")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// meshClient implements MeshClient.
+type meshClient struct {
+	tell     *connect.Client[TellRequest, TellReply]
+	transfer *connect.Client[TransferRequest, TransferReply]
+	give     *connect.Client[GiveRequest, GiveReply]
+}
+
+// Tell calls buckthornpin.wire.Mesh.Tell.
+func (c *meshClient) Tell(ctx context.Context, req *TellRequest) (*TellReply, error) {
+	response, err := c.tell.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
+// Transfer calls buckthornpin.wire.Mesh.Transfer.
+func (c *meshClient) Transfer(ctx context.Context, req *TransferRequest) (*TransferReply, error) {
+	response, err := c.transfer.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
+// Give calls buckthornpin.wire.Mesh.Give.
+func (c *meshClient) Give(ctx context.Context, req *GiveRequest) (*GiveReply, error) {
+	response, err := c.give.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
+// MeshHandler is an implementation of the buckthornpin.wire.Mesh service.
+type MeshHandler interface {
+	Tell(context.Context, *TellRequest) (*TellReply, error)
+	Transfer(context.Context, *TransferRequest) (*TransferReply, error)
+	// Give hands tokens over at a router's stop.
+	Give(context.Context, *GiveRequest) (*GiveReply, error)
+}
+
+// NewMeshHandler builds an HTTP handler from the service implementation. It returns the path on
+// which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewMeshHandler(svc MeshHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	meshMethods := File_wire_proto.Services().ByName("Mesh").Methods()
+	meshTellHandler := connect.NewUnaryHandlerSimple(
+		MeshTellProcedure,
+		svc.Tell,
+		connect.WithSchema(meshMethods.ByName("Tell")),
+		connect.WithHandlerOptions(opts...),
+	)
+	meshTransferHandler := connect.NewUnaryHandlerSimple(
+		MeshTransferProcedure,
+		svc.Transfer,
+		connect.WithSchema(meshMethods.ByName("Transfer")),
+		connect.WithHandlerOptions(opts...),
+	)
+	meshGiveHandler := connect.NewUnaryHandlerSimple(
+		MeshGiveProcedure,
+		svc.Give,
+		connect.WithSchema(meshMethods.ByName("Give")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/buckthornpin.wire.Mesh/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case MeshTellProcedure:
+			meshTellHandler.ServeHTTP(w, r)
+		case MeshTransferProcedure:
+			meshTransferHandler.ServeHTTP(w, r)
+		case MeshGiveProcedure:
+			meshGiveHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedMeshHandler returns CodeUnimplemented from all methods.
+type UnimplementedMeshHandler struct{}
+
+func (UnimplementedMeshHandler) Tell(context.Context, *TellRequest) (*TellReply, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("buckthornpin.wire.Mesh.Tell is not implemented"))
+}
+
+func (UnimplementedMeshHandler) Transfer(context.Context, *TransferRequest) (*TransferReply, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("buckthornpin.wire.Mesh.Transfer is not implemented"))
+}
+
+func (UnimplementedMeshHandler) Give(context.Context, *GiveRequest) (*GiveReply, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("buckthornpin.wire.Mesh.Give is not implemented"))
+}
