--- a/conn/exchange.go
+++ b/conn/exchange.go
@@ -110,7 +110,7 @@
 		if err != nil && n == 0 {
 			return errors.Join(ErrNotSent, err)
 		}
-		return errors.Wrap(err, "write request")
+		return err
 	}
 	l.written = make(chan error, 1)
 	go func() {
