Hand out shares for a horizon instead of the whole budget; survive a failing disk

Ruled out: a window of spending beyond what control has on record. It loses as much as a grant of that size and needs a second mechanism. Change: control hands out what demand takes over three times the contact time and keeps the rest; routers give surplus back. A replica starts again from its folder after a disk error.

--- a/app/fleet.go
+++ b/app/fleet.go
@@ -45,6 +45,9 @@
 	// balancerNotices is the time after which the balancer sends a process that
 	// isn't ready no new connections: two checks, a second apart, and a margin.
 	balancerNotices = 2300 * time.Millisecond
+	// horizonContacts is how long shares of budgets should last without control,
+	// in times of contact: a cut of a few times that is what sites see.
+	horizonContacts = 3
 	// stopMargin is kept from the grace at the end of a stop.
 	stopMargin = 800 * time.Millisecond
 )
@@ -177,7 +180,7 @@
 	f.links = &ctrl.Links{HTTP: f.dialer.Internal(), Scheme: f.dialer.Scheme()}
 	f.replica = &ctrl.Replica{
 		Folder: &store.Folder{Path: f.Settings.Ctrl.DataDir}, Transport: f.links, Events: f.line, Log: f.Log,
-		SnapshotBytes: snapshotBytes, DropAfter: 2 * (time.Duration(p.CatchUp) + time.Duration(p.Contact)),
+		SnapshotBytes: snapshotBytes, ReopenAfter: time.Duration(p.Contact) / 10, DropAfter: 2 * (time.Duration(p.CatchUp) + time.Duration(p.Contact)),
 	}
 	if err := f.replica.Open(); err != nil {
 		return &Error{Op: "open", Kind: KindSetup, Err: err}
@@ -190,7 +193,8 @@
 func (f *Fleet) openRouter() {
 	p := f.Settings.Platform
 	f.wallet = &budget.Wallet{
-		Control: f.client, Lenders: f.mesh, Address: p.MeshAddress(), Incarnation: f.started.UnixNano(), Log: f.Log,
+		Control: f.client, Lenders: f.mesh, Address: p.MeshAddress(), Incarnation: f.started.UnixNano(),
+		Horizon: horizonContacts * time.Duration(p.Contact), Log: f.Log,
 	}
 	f.mirror = &ctrl.SiteMirror{
 		Client: f.client, Router: f.Settings.VM, Decode: platf.DecodeConfiguration, Taken: f.takeSite, Log: f.Log,
--- a/budget/share.go
+++ b/budget/share.go
@@ -99,10 +99,10 @@
 	return s.out[to]
 }
 
-// giveBack returns all that isn't reserved to the budget.
-func (s *share) giveBack() {
-	if b := s.balance(); b > 0 {
-		s.returned += b
+// giveBack returns tokens to the budget.
+func (s *share) giveBack(tokens int64) {
+	if tokens = min(tokens, s.balance()); tokens > 0 {
+		s.returned += tokens
 		s.dirty = true
 	}
 }
--- a/budget/wallet.go
+++ b/budget/wallet.go
@@ -31,6 +31,10 @@
 	idleReports = 5
 	// transferTimeout bounds a call to another router.
 	transferTimeout = 250 * time.Millisecond
+	// surplusFactor is how many times its target a router may hold before it gives
+	// the rest back; below, tokens would go back and forth with each change of
+	// demand.
+	surplusFactor = 2
 	// levelFactor is how many times the own balance another router has to hold,
 	// by demand, before a part of it is asked for without need.
 	levelFactor = 2
@@ -56,7 +60,9 @@
 	// Address and Incarnation name this process.
 	Address     string
 	Incarnation int64
-	Log         zerolog.Logger
+	// Horizon is the time that the shares should last without control.
+	Horizon time.Duration
+	Log     zerolog.Logger
 
 	mu      sync.Mutex
 	shares  map[string]*share
@@ -330,7 +336,7 @@
 	if len(organisations) == 0 {
 		return
 	}
-	c := &wire.ReportShares{Router: w.Address, Incarnation: w.Incarnation}
+	c := &wire.ReportShares{Router: w.Address, Incarnation: w.Incarnation, HorizonMs: w.Horizon.Milliseconds()}
 	w.mu.Lock()
 	for _, name := range organisations {
 		c.Shares = append(c.Shares, w.share(name).report(name, time.Now()))
@@ -365,8 +371,11 @@
 		s := w.share(g.GetOrganisation())
 		s.grant(g.GetGranted())
 		s.free = g.GetFree()
-		if g.GetRecalled() {
-			s.giveBack()
+		switch {
+		case g.GetRecalled():
+			s.giveBack(s.balance())
+		case s.balance() > surplusFactor*g.GetTarget():
+			s.giveBack(s.balance() - g.GetTarget())
 		}
 	}
 }
@@ -407,7 +416,7 @@
 	for name, s := range w.shares {
 		names = append(names, name)
 		if heard || len(heirs) == 0 {
-			s.giveBack()
+			s.giveBack(s.balance())
 		}
 	}
 	w.mu.Unlock()
--- a/ctrl/call.go
+++ b/ctrl/call.go
@@ -11,6 +11,8 @@
 // call is what other goroutines ask of the replica's loop.
 type call interface {
 	start(r *Replica, g *group)
+	// refuse answers a call that was not started.
+	refuse(err error)
 }
 
 // group is the calls that one entry of the log carries.
@@ -50,6 +52,8 @@
 	done     chan executeDone
 }
 
+func (c *executeCall) refuse(err error) { c.done <- executeDone{err: err} }
+
 func (c *executeCall) start(_ *Replica, g *group) {
 	g.commands = append(g.commands, c.commands...)
 	g.parts = append(g.parts, c)
@@ -88,6 +92,8 @@
 	done  chan error
 }
 
+func (c *readCall) refuse(err error) { c.done <- err }
+
 func (c *readCall) start(r *Replica, _ *group) {
 	r.token++
 	if err := r.node.Read(r.token); err != nil {
@@ -155,6 +161,8 @@
 	done   chan error
 }
 
+func (c *membersCall) refuse(err error) { c.done <- err }
+
 func (c *membersCall) start(r *Replica, _ *group) {
 	if r.node.Role() != quorum.Leader {
 		c.done <- r.notLeader("change members")
--- a/ctrl/replica.go
+++ b/ctrl/replica.go
@@ -54,6 +54,9 @@
 	// enough others answer; 0 leaves that to operators. A voter that comes back
 	// asks to join again.
 	DropAfter time.Duration
+	// ReopenAfter is the time after which a replica whose disk has failed starts
+	// again from its folder; 0 ends Run with the failure.
+	ReopenAfter time.Duration
 	// CheckEach verifies the ledger's invariants after each entry.
 	CheckEach bool
 
@@ -91,17 +94,25 @@
 
 // Open reads the data folder. It comes before Run.
 func (r *Replica) Open() error {
+	r.setDefaults()
+	return r.load()
+}
+
+// load starts the replica from what the data folder holds.
+func (r *Replica) load() error {
 	c, err := r.Folder.Open()
 	if err != nil {
 		return err
 	}
-	r.setDefaults()
 	l, err := restoreLedger(c.Snapshot)
 	if err != nil {
 		return err
 	}
+	r.mu.Lock()
 	r.ledger = l
 	r.applied = c.Snapshot.GetIndex()
+	r.mu.Unlock()
+	r.savedTerm, r.savedVote = c.HardState.GetTerm(), c.HardState.GetVote()
 	r.node = &quorum.Node{
 		ID: c.Identity.GetReplica(), ElectionTicks: r.ElectionTicks,
 		HeartbeatTicks: DefaultHeartbeatTicks, Rand: rand.IntN,
@@ -155,9 +166,46 @@
 		case ms := <-r.inbox:
 			r.takeMessages(ms)
 		}
-		if err := r.work(); err != nil {
+		err := r.work()
+		if err == nil {
+			continue
+		}
+		if r.ReopenAfter == 0 {
 			return errors.Join(err, r.Folder.Close())
 		}
+		r.Log.Error().Err(err).Msg("disk has failed, starting again from what it holds")
+		if !r.reopen(ctx) {
+			return nil
+		}
+	}
+}
+
+// reopen starts the replica again from its folder, as a restart of the process
+// would: what the disk holds after an error isn't known before it is read.
+// Meanwhile calls are refused and messages dropped. It reports whether the
+// replica runs again.
+func (r *Replica) reopen(ctx context.Context) bool {
+	r.failAll()
+	_ = r.Folder.Close()
+	ticker := time.NewTicker(r.ReopenAfter)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case c := <-r.calls:
+			c.refuse(r.notLeader("start"))
+			continue
+		case <-r.inbox:
+			continue
+		case <-ticker.C:
+		}
+		err := r.load()
+		if err == nil {
+			return true
+		}
+		_ = r.Folder.Close()
+		r.Log.Warn().Err(err).Msg("disk still fails")
 	}
 }
 
--- a/ledger/share.go
+++ b/ledger/share.go
@@ -14,6 +14,8 @@
 	// grantDivisor bounds one grant to this part of what is free, so that routers
 	// which report later find something left.
 	grantDivisor = 4
+	// idleDivisor is the part of a budget without demand that is handed out.
+	idleDivisor = 4
 	// leastWeight is the part of the mean demand that a router without demand
 	// counts for: its first requests must be covered in a cut too.
 	leastWeight = 4
@@ -66,12 +68,12 @@
 	out := &wire.Result{Kind: wire.ResultKind_RESULT_KIND_OK}
 	k := shareKey{router: c.GetRouter(), incarnation: c.GetIncarnation()}
 	for _, r := range c.GetShares() {
-		out.Grants = append(out.Grants, l.reportShare(k, r))
+		out.Grants = append(out.Grants, l.reportShare(k, r, c.GetHorizonMs()))
 	}
 	return out
 }
 
-func (l *Ledger) reportShare(k shareKey, r *wire.ShareReport) *wire.ShareGrant {
+func (l *Ledger) reportShare(k shareKey, r *wire.ShareReport, horizonMS int64) *wire.ShareGrant {
 	a := l.allowance(r.GetOrganisation())
 	s := a.shares[k]
 	if s == nil {
@@ -84,32 +86,44 @@
 	}
 	s.Spent = max(s.GetSpent(), r.GetSpent())
 	s.Balance, s.Rate, s.AtMs = r.GetBalance(), r.GetRate(), l.nowMS
-	tokens := a.grant(s, r.GetNeed(), l.nowMS)
+	target := a.target(s, horizonMS, l.nowMS)
+	tokens := a.grant(s, target, r.GetNeed())
 	s.Granted += tokens
 	s.Balance += tokens
 	a.out += tokens
 	return &wire.ShareGrant{
-		Organisation: r.GetOrganisation(), Granted: s.GetGranted(), Recalled: a.out > a.total, Free: max(a.total-a.out, 0),
+		Organisation: r.GetOrganisation(), Granted: s.GetGranted(), Recalled: a.out > a.total,
+		Free: max(a.total-a.out, 0), Target: target,
 	}
 }
 
-// grant returns how many tokens a router gets now: its part, by demand, of what
-// no router has spent, and at least what a waiting request lacks.
-func (a *allowance) grant(s *wire.ShareState, need, nowMS int64) int64 {
-	free := a.total - a.out
-	if free <= 0 {
-		return 0
-	}
-	pool, rates, n := free, int64(0), int64(0)
+// target returns how many unspent tokens a router should hold: what its demand
+// takes over the horizon, and no more than its part, by demand, of what no router
+// has spent. What isn't handed out can't be lost with a router.
+func (a *allowance) target(s *wire.ShareState, horizonMS, nowMS int64) int64 {
+	pool, rates, n := max(a.total-a.out, 0), int64(0), int64(0)
 	for _, o := range a.shares {
 		if nowMS-o.GetAtMs() <= shareSilenceMS {
-			pool += o.GetBalance()
+			pool += max(o.GetBalance(), 0)
 			rates += o.GetRate()
 			n++
 		}
 	}
+	if rates == 0 {
+		return pool / (n * idleDivisor)
+	}
 	least := max(rates/(n*leastWeight), 1)
-	target := pool / (rates + n*least) * (s.GetRate() + least)
+	part := pool / (rates + n*least) * (s.GetRate() + least)
+	return min(part, (s.GetRate()+least)*horizonMS/1000)
+}
+
+// grant returns how many tokens a router gets now: what lacks to its target, and
+// at least what a waiting request lacks.
+func (a *allowance) grant(s *wire.ShareState, target, need int64) int64 {
+	free := a.total - a.out
+	if free <= 0 {
+		return 0
+	}
 	part := min(target-s.GetBalance(), free/grantDivisor)
 	return max(part, min(need, free), 0)
 }
--- a/store/folder.go
+++ b/store/folder.go
@@ -86,6 +86,7 @@
 		f.OpenFile = openForAppend
 	}
 	c := &Content{}
+	f.broken = nil
 	if err := f.readIdentity(c); err != nil {
 		return nil, err
 	}
--- a/store/write.go
+++ b/store/write.go
@@ -68,6 +68,7 @@
 	if f.lock != nil {
 		err = errors.Join(err, f.lock.Close())
 	}
+	f.wal, f.lock = nil, nil
 	f.broken = &Error{Op: "save", Kind: KindIO, Err: os.ErrClosed}
 	return ioError("close", err)
 }
