Let control processes that are no seeds tell the others what they hear

Cause: a control process told only processes that it had heard of, and nobody had been told of one that is no seed. Ruled out: lost heartbeats; they were acknowledged.

--- a/app/fleet.go
+++ b/app/fleet.go
@@ -63,7 +63,7 @@
 	Build   BuildInfo
 	Log     zerolog.Logger
 
-	line      *event.Line
+	events    *loggedEvents
 	seeds     atomic.Pointer[[]string]
 	dialer    *conn.Dialer
 	client    *ctrl.Client
@@ -92,7 +92,8 @@
 		debug.SetMemoryLimit(p.MemoryMB << 20 / 100 * memoryShare)
 	}
 	f.Log = f.Log.With().Str("vm", f.Settings.VM).Str("zone", f.Settings.Zone).Str("role", roleName(f.Settings)).Logger()
-	f.line = &event.Line{VM: f.Settings.VM, Role: roleName(f.Settings), Clock: &event.Clock{}}
+	line := &event.Line{VM: f.Settings.VM, Role: roleName(f.Settings), Clock: &event.Clock{}}
+	f.events = &loggedEvents{line: line, log: f.Log}
 	f.metrics = new(expvar.Map)
 	f.setSeeds(p)
 	f.openMesh()
@@ -120,7 +121,7 @@
 		},
 		AliveFor: contact, ForgetAfter: nodeForget * contact, Joined: f.noteNode,
 	}
-	f.directory = &peer.Directory{Events: f.line, DeadAfter: beatsToDeath * time.Duration(p.Heartbeat), Addresses: f.addresses}
+	f.directory = &peer.Directory{Events: f.events, DeadAfter: beatsToDeath * time.Duration(p.Heartbeat), Addresses: f.addresses}
 	f.mesh = &peer.Mesh{
 		Nodes: f.nodes, Directory: f.directory, HTTP: f.dialer.Internal(), Scheme: f.dialer.Scheme(),
 		Seeds: f.otherSeeds, Log: f.Log,
@@ -179,7 +180,7 @@
 	}
 	f.links = &ctrl.Links{HTTP: f.dialer.Internal(), Scheme: f.dialer.Scheme()}
 	f.replica = &ctrl.Replica{
-		Folder: &store.Folder{Path: f.Settings.Ctrl.DataDir}, Transport: f.links, Events: f.line, Log: f.Log,
+		Folder: &store.Folder{Path: f.Settings.Ctrl.DataDir}, Transport: f.links, Events: f.events, Log: f.Log,
 		SnapshotBytes: snapshotBytes, ReopenAfter: time.Duration(p.Contact) / 10, DropAfter: 2 * (time.Duration(p.CatchUp) + time.Duration(p.Contact)),
 	}
 	if err := f.replica.Open(); err != nil {
@@ -306,7 +307,7 @@
 	parts := []part{{"mesh", f.mesh.Run}, {"reload", f.reload}}
 	if f.replica != nil {
 		f.links.Open(ctx)
-		(&ctrl.Service{Replica: f.replica, Events: f.line}).Register(mux, opts...)
+		(&ctrl.Service{Replica: f.replica, Events: f.events}).Register(mux, opts...)
 		parts = append(parts, part{"replica", f.replica.Run}, part{"links", f.links.Run}, part{"joiner", f.joiner.Run})
 	} else {
 		parts = append(parts, part{"mirror", f.mirror.Run}, part{"wallet", f.wallet.Run}, part{"sweep", f.sweep})
--- a/app/watch.go
+++ b/app/watch.go
@@ -8,7 +8,11 @@
 	"syscall"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/rs/zerolog/diode"
+
+	"buckthornpin"
+	"buckthornpin/event"
 )
 
 const (
@@ -63,3 +67,15 @@
 	}
 	return info.ModTime()
 }
+
+// loggedEvents records events on the time line and writes them to the log.
+type loggedEvents struct {
+	line *event.Line
+	log  zerolog.Logger
+}
+
+// Record implements buckthornpin.Recorder.
+func (l *loggedEvents) Record(e buckthornpin.Event) {
+	l.line.Record(e)
+	l.log.Info().Str("event", string(e.Kind)).Str("endpoint", e.Endpoint).Str("detail", e.Detail).Msg("belief has changed")
+}
--- a/peer/directory.go
+++ b/peer/directory.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -168,7 +169,8 @@
 		kind = buckthornpin.EventEndpointDead
 	}
 	if old == nil || !e.SameNews(old.endpoint) {
-		d.Events.Record(buckthornpin.Event{Kind: kind, Endpoint: e.ID})
+		detail := fmt.Sprintf("%s of %v, started %d, announcement %d", e.Address, e.Services, e.Incarnation, e.Sequence)
+		d.Events.Record(buckthornpin.Event{Kind: kind, Endpoint: e.ID, Detail: detail})
 	}
 }
 
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -122,10 +122,11 @@
 		}
 		return append(out, m.someControl()...)
 	}
-	return draw(m.Nodes.Living(now), fanOut)
+	return append(draw(m.Nodes.Living(now), fanOut), m.someControl()...)
 }
 
-// someControl draws a control process, or all seeds while none is known.
+// someControl draws a control process, living or not, so that two parts of the
+// system that have lost each other meet again; all seeds while none is known.
 func (m *Mesh) someControl() []string {
 	controls := m.Nodes.Controls()
 	if len(controls) == 0 {
