Size shares by what is spent, and give nothing back while a request waits

Cause: demand was counted by the bound of each request and for refused ones too, and an idle router's least share was a quarter of the mean, so that 9 to 11 s of demand lay at routers when the final fault struck. Ruled out: taking back by a clock; the users ask for proof.

--- a/budget/share.go
+++ b/budget/share.go
@@ -55,15 +55,18 @@
 	return s.granted + s.inSum - s.returned - s.outSum - s.spent - s.reserved
 }
 
-func (s *share) reserve(tokens int64) bool {
+func (s *share) reserve(tokens int64, now time.Time) bool {
 	if s.balance() < tokens {
 		return false
 	}
 	s.reserved += tokens
+	s.rate.add(tokens, now)
 	return true
 }
 
-func (s *share) settle(reserved, spent int64) {
+// settle ends a reservation. Demand counts what was spent, not what was held.
+func (s *share) settle(reserved, spent int64, now time.Time) {
+	s.rate.add(spent-reserved, now)
 	s.reserved -= reserved
 	s.spent += spent
 	s.dirty = true
@@ -132,7 +135,7 @@
 	if r.at.IsZero() {
 		return 0
 	}
-	return r.value * math.Exp(-now.Sub(r.at).Seconds()/rateSpan.Seconds())
+	return max(r.value*math.Exp(-now.Sub(r.at).Seconds()/rateSpan.Seconds()), 0)
 }
 
 // donation returns how many of a router's tokens go to another one that asks:
--- a/budget/wallet.go
+++ b/budget/wallet.go
@@ -31,10 +31,10 @@
 	idleReports = 5
 	// transferTimeout bounds a call to another router.
 	transferTimeout = 250 * time.Millisecond
-	// surplusFactor is how many times its target a router may hold before it gives
-	// the rest back; below, tokens would go back and forth with each change of
-	// demand.
-	surplusFactor = 2
+	// surplusDivisor is the part of its target that a router may hold beyond it
+	// before it gives the surplus back: what is held can be lost with the router,
+	// but a smaller part would go back and forth with each request.
+	surplusDivisor = 4
 	// levelFactor is how many times the own balance another router has to hold,
 	// by demand, before a part of it is asked for without need.
 	levelFactor = 2
@@ -114,8 +114,7 @@
 func (w *Wallet) Reserve(ctx context.Context, organisation string, tokens int64) relay.Cover {
 	w.mu.Lock()
 	s := w.share(organisation)
-	s.rate.add(tokens, time.Now())
-	if s.reserve(tokens) {
+	if s.reserve(tokens, time.Now()) {
 		w.mu.Unlock()
 		w.metrics.covered.Add(1)
 		return relay.Covered
@@ -143,7 +142,7 @@
 	tried := false
 	for {
 		w.mu.Lock()
-		if s.reserve(tokens) {
+		if s.reserve(tokens, time.Now()) {
 			w.mu.Unlock()
 			return relay.Covered
 		}
@@ -259,7 +258,7 @@
 func (w *Wallet) Settle(organisation string, reserved, spent int64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.share(organisation).settle(reserved, spent)
+	w.share(organisation).settle(reserved, spent, time.Now())
 }
 
 // Balances implements peer.Budgets.
@@ -374,7 +373,7 @@
 		switch {
 		case g.GetRecalled():
 			s.giveBack(s.balance())
-		case s.balance() > surplusFactor*g.GetTarget():
+		case s.waiting == 0 && s.balance()*surplusDivisor > (surplusDivisor+1)*g.GetTarget():
 			s.giveBack(s.balance() - g.GetTarget())
 		}
 	}
--- a/ledger/share.go
+++ b/ledger/share.go
@@ -17,8 +17,9 @@
 	// idleDivisor is the part of a budget without demand that is handed out.
 	idleDivisor = 4
 	// leastWeight is the part of the mean demand that a router without demand
-	// counts for: its first requests must be covered in a cut too.
-	leastWeight = 4
+	// counts for: its first requests must be covered in a cut too, until other
+	// routers have lent it a part of theirs.
+	leastWeight = 16
 )
 
 // shareKey names one router process.
@@ -112,9 +113,10 @@
 	if rates == 0 {
 		return pool / (n * idleDivisor)
 	}
-	least := max(rates/(n*leastWeight), 1)
-	part := pool / (rates + n*least) * (s.GetRate() + least)
-	return min(part, (s.GetRate()+least)*horizonMS/1000)
+	least := float64(rates) / float64(n*leastWeight)
+	demand := float64(s.GetRate()) + least
+	part := float64(pool) * demand / (float64(rates) + float64(n)*least)
+	return int64(min(part, demand*float64(horizonMS)/1000))
 }
 
 // grant returns how many tokens a router gets now: what lacks to its target, and
