--- a/app/fleet.go
+++ b/app/fleet.go
@@ -197,6 +197,7 @@
 		Control: f.client, Lenders: f.mesh, Address: p.MeshAddress(), Incarnation: f.started.UnixNano(),
 		Horizon: horizonContacts * time.Duration(p.Contact), Log: f.Log,
 	}
+	f.wallet.Open()
 	f.mirror = &ctrl.SiteMirror{
 		Client: f.client, Router: f.Settings.VM, Decode: platf.DecodeConfiguration, Taken: f.takeSite, Log: f.Log,
 	}
--- a/app/serve_command.go
+++ b/app/serve_command.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"flag"
+	"log"
 	"os"
 	"strings"
 
@@ -98,6 +99,8 @@
 		Settings: s, Build: c.Build, Log: zerolog.New(out).Level(level).With().Timestamp().Logger(),
 		Reload: c.load, Reloads: watchSettings(ctx, c.files),
 	}
+	log.SetFlags(0)
+	log.SetOutput(f.Log.With().Str("level", zerolog.LevelDebugValue).Str("source", "net/http").Logger())
 	if err := f.Open(); err != nil {
 		f.Log.Error().Err(err).Msg("process can't start")
 		return ExitFailed
--- a/budget/wallet.go
+++ b/budget/wallet.go
@@ -69,8 +69,12 @@
 	heardAt time.Time
 	rounds  int
 	metrics walletMetrics
+	known   chan struct{}
 }
 
+// Open prepares the wallet. It comes before Know and Run.
+func (w *Wallet) Open() { w.known = make(chan struct{}, 1) }
+
 type walletMetrics struct {
 	covered, elsewhere, spent, transfers, reports expvar.Int
 }
@@ -100,14 +104,18 @@
 	return s
 }
 
-// Know makes sure that a share of each budget is asked for, before its first
-// request comes.
+// Know makes sure that a share of each budget is asked for at once, before its
+// first request comes.
 func (w *Wallet) Know(organisations []string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, o := range organisations {
 		w.share(o)
 	}
+	select {
+	case w.known <- struct{}{}:
+	default:
+	}
 }
 
 // Reserve implements relay.Funds.
@@ -306,6 +314,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-w.known:
 		case <-ticker.C:
 		}
 		reportCtx, cancel := context.WithTimeout(ctx, reportTimeout)
