Charge an organisation for what it got: nothing delivered costs nothing

Cause: a prompt was charged as soon as an endpoint may have run it. Ruled out, by a trial that charged a quarter: events counted wrongly; the sum of answered prompts and events matches what the organisation got within 1%.

--- a/relay/flight.go
+++ b/relay/flight.go
@@ -103,14 +103,15 @@
 	return false
 }
 
-// settle charges the prompt once if the request may have run, and the output
-// that was delivered.
+// settle charges what the organisation got: the output that was delivered, and
+// the prompt once if any was. A request of which nothing reached the caller costs
+// nothing, whether an endpoint ran it or not.
 func (f *flight) settle() {
 	if f.reserved == 0 {
 		return
 	}
 	spent := int64(0)
-	if f.ran {
+	if f.events.delivered > 0 {
 		spent = f.request.Prompt.Tokens + f.events.delivered*f.service.Engine.EventTokens
 	}
 	f.router.Funds.Settle(f.owner.Name, f.reserved, min(spent, f.reserved))
