--- a/budget/share.go
+++ b/budget/share.go
@@ -27,6 +27,8 @@
 	inSum    int64
 	outSum   int64
 	rate     rate
+	// largest is the largest bound of a request so far.
+	largest int64
 	// free is what control last said that no router holds.
 	free int64
 	// waiting are tokens that waiting requests lack.
@@ -60,6 +62,7 @@
 		return false
 	}
 	s.reserved += tokens
+	s.largest = max(s.largest, tokens)
 	s.rate.add(tokens, now)
 	return true
 }
@@ -120,22 +123,36 @@
 // its load.
 const rateSpan = 4 * time.Second
 
-// rate is an exponentially decaying mean of demand, in tokens per second.
+// rate is an exponentially decaying mean of demand, in tokens per second. At its
+// beginning it is the mean over the time that it has seen.
 type rate struct {
 	value float64
 	at    time.Time
+	since time.Time
 }
 
+// leastSeen bounds the time over which a young rate is averaged from below, so
+// that a first request alone isn't taken for a high demand.
+const leastSeen = time.Second
+
 func (r *rate) add(tokens int64, now time.Time) {
-	r.value = r.now(now) + float64(tokens)/rateSpan.Seconds()
+	if r.since.IsZero() {
+		r.since = now
+	}
+	r.value = r.decayed(now) + float64(tokens)/rateSpan.Seconds()
 	r.at = now
 }
 
+func (r *rate) decayed(now time.Time) float64 {
+	return max(r.value*math.Exp(-now.Sub(r.at).Seconds()/rateSpan.Seconds()), 0)
+}
+
 func (r *rate) now(now time.Time) float64 {
 	if r.at.IsZero() {
 		return 0
 	}
-	return max(r.value*math.Exp(-now.Sub(r.at).Seconds()/rateSpan.Seconds()), 0)
+	seen := max(now.Sub(r.since), leastSeen)
+	return r.decayed(now) / (1 - math.Exp(-seen.Seconds()/rateSpan.Seconds()))
 }
 
 // donation returns how many of a router's tokens go to another one that asks:
--- a/budget/wallet.go
+++ b/budget/wallet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"expvar"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -70,6 +71,8 @@
 	rounds  int
 	metrics walletMetrics
 	known   chan struct{}
+	// closing says that the process is about to end and takes no more tokens.
+	closing bool
 }
 
 // Open prepares the wallet. It comes before Know and Run.
@@ -122,6 +125,10 @@
 func (w *Wallet) Reserve(ctx context.Context, organisation string, tokens int64) relay.Cover {
 	w.mu.Lock()
 	s := w.share(organisation)
+	if w.closing {
+		w.mu.Unlock()
+		return relay.Elsewhere
+	}
 	if s.reserve(tokens, time.Now()) {
 		w.mu.Unlock()
 		w.metrics.covered.Add(1)
@@ -346,6 +353,7 @@
 	}
 	c := &wire.ReportShares{Router: w.Address, Incarnation: w.Incarnation, HorizonMs: w.Horizon.Milliseconds()}
 	w.mu.Lock()
+	c.Closing = w.closing
 	for _, name := range organisations {
 		c.Shares = append(c.Shares, w.share(name).report(name, time.Now()))
 	}
@@ -367,7 +375,7 @@
 	s.dirty = false
 	return &wire.ShareReport{
 		Organisation: name, Spent: s.spent, Returned: s.returned, Balance: s.balance(),
-		Rate: int64(s.rate.now(now)), Need: max(s.waiting-s.balance(), 0),
+		Rate: int64(s.rate.now(now)), Need: max(s.waiting-s.balance(), 0), Largest: s.largest,
 	}
 }
 
@@ -400,7 +408,7 @@
 	var wishes []wish
 	now := time.Now()
 	for name, s := range w.shares {
-		if s.rate.now(now) < 1 {
+		if w.closing || s.rate.now(now) < 1 {
 			continue
 		}
 		for address, p := range s.peers {
@@ -416,28 +424,31 @@
 	}
 }
 
-// Close gives the shares back at a stop: to control, or else to another router.
+// Close gives the shares back at a stop. Other routers come first: they answer in
+// a cut from control too, and return what they don't need. Only without any the
+// shares go straight back to the budgets.
 func (w *Wallet) Close(ctx context.Context, heirs []string) {
 	w.mu.Lock()
-	var names []string
-	heard := time.Since(w.heardAt) <= heardWithin
-	for name, s := range w.shares {
-		names = append(names, name)
-		if heard || len(heirs) == 0 {
+	w.closing = true
+	names := slices.Sorted(maps.Keys(w.shares))
+	for _, s := range w.shares {
+		if len(heirs) == 0 {
 			s.giveBack(s.balance())
 		}
 	}
 	w.mu.Unlock()
-	if heard || len(heirs) == 0 {
-		w.report(ctx, names)
-		return
-	}
+	var all sync.WaitGroup
 	for i, name := range names {
-		w.handOver(ctx, name, heirs[i%len(heirs)])
+		if len(heirs) > 0 {
+			all.Go(func() { w.handOver(ctx, name, heirs[i%len(heirs)]) })
+		}
 	}
+	all.Wait()
 	w.report(ctx, names)
 }
 
+// handOver gives a share to another router, again and again until it answers or
+// ctx ends.
 func (w *Wallet) handOver(ctx context.Context, name, heir string) {
 	w.mu.Lock()
 	s := w.share(name)
@@ -446,7 +457,13 @@
 	total := s.donate(peerKey{address: heir}, s.balance())
 	w.mu.Unlock()
 	r := &wire.GiveRequest{Vm: w.Address, Incarnation: w.Incarnation, Organisation: name, Transferred: total}
-	if err := w.Lenders.HandOver(ctx, heir, r); err != nil {
-		w.Log.Warn().Str("organisation", name).Str("router", heir).Int64("tokens", total).Err(err).Msg("share couldn't be handed over")
+	for total > 0 && ctx.Err() == nil {
+		try, cancel := context.WithTimeout(ctx, transferTimeout)
+		err := w.Lenders.HandOver(try, heir, r)
+		cancel()
+		if err == nil {
+			return
+		}
+		w.Log.Warn().Str("organisation", name).Str("router", heir).Int64("tokens", total).Err(err).Msg("share wasn't handed over")
 	}
 }
--- a/budget/wallet_test.go
+++ b/budget/wallet_test.go
@@ -128,3 +128,65 @@
 	w.report(context.Background(), []string{"fleet"})
 	require.NotEqual(t, relay.Covered, reserve(t, w, 1_000))
 }
+
+// heir is a lender that takes what is handed over to another wallet.
+type heir struct {
+	noLenders
+	wallet *Wallet
+	// lost is the number of hand-overs whose acknowledgement gets lost.
+	lost int
+}
+
+// HandOver implements Lenders.
+func (h *heir) HandOver(_ context.Context, _ string, r *wire.GiveRequest) error {
+	h.wallet.Accept(r)
+	if h.lost--; h.lost >= 0 {
+		return &Error{Op: "give", Kind: KindLost}
+	}
+	return nil
+}
+
+// TestStopLosesNothing: the pattern is a rolling restart, also during a cut. What
+// a stopping router holds goes to another one, once, whatever acknowledgement
+// gets lost, and control grants it nothing more.
+func TestStopLosesNothing(t *testing.T) {
+	for _, cut := range []bool{false, true} {
+		c := newControl(100_000)
+		stopping, living := newWallet(c, "a"), newWallet(c, "b")
+		stopping.Lenders = &heir{wallet: living, lost: 2}
+		stopping.report(context.Background(), []string{"fleet"})
+		living.report(context.Background(), []string{"fleet"})
+		held := stopping.share("fleet").balance() + living.share("fleet").balance()
+		require.Positive(t, stopping.share("fleet").balance())
+
+		c.cut = cut
+		stopping.Close(context.Background(), []string{"b"})
+		require.Zero(t, stopping.share("fleet").balance())
+		require.Equal(t, held, living.share("fleet").balance())
+		stopping.report(context.Background(), []string{"fleet"})
+		require.Zero(t, stopping.share("fleet").balance())
+
+		c.cut = false
+		spent := int64(0)
+		for range 200 {
+			living.report(context.Background(), []string{"fleet"})
+			if reserve(t, living, 500) == relay.Covered {
+				living.Settle("fleet", 500, 500)
+				spent += 500
+			}
+		}
+		require.Equal(t, int64(100_000), spent)
+	}
+}
+
+// TestStopWithoutHeirsReturnsToControl: a router that knows no other one gives
+// its shares straight back.
+func TestStopWithoutHeirsReturnsToControl(t *testing.T) {
+	c := newControl(100_000)
+	w := newWallet(c, "a")
+	w.report(context.Background(), []string{"fleet"})
+	w.Close(context.Background(), nil)
+	other := newWallet(c, "b")
+	other.report(context.Background(), []string{"fleet"})
+	require.Equal(t, relay.Covered, reserve(t, other, 100_000))
+}
--- a/ledger/share.go
+++ b/ledger/share.go
@@ -14,6 +14,10 @@
 	// grantDivisor bounds one grant to this part of what is free, so that routers
 	// which report later find something left.
 	grantDivisor = 4
+	// outDivisor is the part of what no router has spent that is handed out. Where a
+	// budget nears its end, tokens that stay at control are only spent later, while
+	// those that a lost router held are spent never.
+	outDivisor = 2
 	// idleDivisor is the part of a budget without demand that is handed out.
 	idleDivisor = 4
 	// leastWeight is the part of the mean demand that a router without demand
@@ -69,12 +73,12 @@
 	out := &wire.Result{Kind: wire.ResultKind_RESULT_KIND_OK}
 	k := shareKey{router: c.GetRouter(), incarnation: c.GetIncarnation()}
 	for _, r := range c.GetShares() {
-		out.Grants = append(out.Grants, l.reportShare(k, r, c.GetHorizonMs()))
+		out.Grants = append(out.Grants, l.reportShare(k, r, c))
 	}
 	return out
 }
 
-func (l *Ledger) reportShare(k shareKey, r *wire.ShareReport, horizonMS int64) *wire.ShareGrant {
+func (l *Ledger) reportShare(k shareKey, r *wire.ShareReport, c *wire.ReportShares) *wire.ShareGrant {
 	a := l.allowance(r.GetOrganisation())
 	s := a.shares[k]
 	if s == nil {
@@ -87,7 +91,11 @@
 	}
 	s.Spent = max(s.GetSpent(), r.GetSpent())
 	s.Balance, s.Rate, s.AtMs = r.GetBalance(), r.GetRate(), l.nowMS
-	target := a.target(s, horizonMS, l.nowMS)
+	if c.GetClosing() {
+		s.Rate, s.AtMs = 0, 0
+		return &wire.ShareGrant{Organisation: r.GetOrganisation(), Granted: s.GetGranted()}
+	}
+	target := a.target(s, r.GetLargest(), c.GetHorizonMs(), l.nowMS)
 	tokens := a.grant(s, target, r.GetNeed())
 	s.Granted += tokens
 	s.Balance += tokens
@@ -100,8 +108,10 @@
 
 // target returns how many unspent tokens a router should hold: what its demand
 // takes over the horizon, and no more than its part, by demand, of what no router
-// has spent. What isn't handed out can't be lost with a router.
-func (a *allowance) target(s *wire.ShareState, horizonMS, nowMS int64) int64 {
+// has spent. What isn't handed out can't be lost with a router. As long as the
+// part allows, one request of the largest size seen is covered, however low the
+// demand.
+func (a *allowance) target(s *wire.ShareState, largest, horizonMS, nowMS int64) int64 {
 	pool, rates, n := max(a.total-a.out, 0), int64(0), int64(0)
 	for _, o := range a.shares {
 		if nowMS-o.GetAtMs() <= shareSilenceMS {
@@ -115,8 +125,9 @@
 	}
 	least := float64(rates) / float64(n*leastWeight)
 	demand := float64(s.GetRate()) + least
-	part := float64(pool) * demand / (float64(rates) + float64(n)*least)
-	return int64(min(part, demand*float64(horizonMS)/1000))
+	part := float64(pool) / outDivisor * demand / (float64(rates) + float64(n)*least)
+	even := float64(pool) / float64(n*idleDivisor)
+	return int64(max(min(part, demand*float64(horizonMS)/1000), min(even, float64(largest))))
 }
 
 // grant returns how many tokens a router gets now: what lacks to its target, and
