--- a/conn/exchange.go
+++ b/conn/exchange.go
@@ -90,7 +90,7 @@
 	}
 	request := &http.Request{Method: method}
 	for {
-		r, err := http.ReadResponse(l.br, request)
+		r, err := http.ReadResponse(l.br, request) //nolint:bodyclose // linkBody closes it.
 		if err != nil {
 			return nil, errors.Wrap(err, "read answer")
 		}
@@ -127,7 +127,7 @@
 	if _, err := io.Copy(io.Discard, r.Response.Body.(*linkBody).body); err != nil {
 		return nil, errors.Wrap(err, "skip answer")
 	}
-	next, err := http.ReadResponse(r.link.br, &http.Request{Method: method})
+	next, err := http.ReadResponse(r.link.br, &http.Request{Method: method}) //nolint:bodyclose // linkBody closes it.
 	if err != nil {
 		return nil, errors.Wrap(err, "read answer")
 	}
@@ -203,7 +203,7 @@
 	if l.stop != nil {
 		l.stop()
 	}
-	_ = l.Conn.Close()
+	_ = l.Close()
 }
 
 func (p *Pool) put(l *Link) {
@@ -225,7 +225,7 @@
 		if time.Now().Before(l.until) && l.quiet() {
 			return l, nil
 		}
-		_ = l.Conn.Close()
+		_ = l.Close()
 	}
 }
 
@@ -259,7 +259,7 @@
 				kept = append(kept, l)
 				continue
 			}
-			_ = l.Conn.Close()
+			_ = l.Close()
 		}
 		p.idle[address] = kept
 		if len(kept) == 0 {
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -98,7 +98,7 @@
 	case Spent:
 		f.refuse(ReasonBudgetSpent, 0)
 	default:
-		f.refuse(ReasonBudgetElsewhere, f.retryAfter(time.Second))
+		f.refuse(ReasonBudgetElsewhere, f.retryAfter())
 	}
 	return false
 }
@@ -170,9 +170,9 @@
 	case f.ran:
 		f.refuse(ReasonBroken, 0)
 	case f.sent > 0:
-		f.refuse(ReasonFull, f.retryAfter(time.Second))
+		f.refuse(ReasonFull, f.retryAfter())
 	default:
-		f.refuse(ReasonNoEndpoint, f.retryAfter(time.Second))
+		f.refuse(ReasonNoEndpoint, f.retryAfter())
 	}
 }
 
@@ -187,7 +187,7 @@
 	case late:
 		f.refuse(ReasonTimeout, 0)
 	default:
-		f.refuse(ReasonFull, f.retryAfter(time.Second))
+		f.refuse(ReasonFull, f.retryAfter())
 	}
 }
 
@@ -195,12 +195,16 @@
 // take: callers honour no longer one.
 const retryAfterShare = 3
 
-// retryAfter bounds a wait by the part of the caller's time that it honours.
-func (f *flight) retryAfter(d time.Duration) time.Duration {
+// comeBack is when a caller should come again after a refusal: balances and news
+// of endpoints have reached all routers by then.
+const comeBack = time.Second
+
+// retryAfter bounds the wait by the part of the caller's time that it honours.
+func (f *flight) retryAfter() time.Duration {
 	if f.request.Deadline.IsZero() {
-		return d
+		return comeBack
 	}
-	return max(min(d, time.Until(f.request.Deadline)/retryAfterShare), 0)
+	return max(min(comeBack, time.Until(f.request.Deadline)/retryAfterShare), 0)
 }
 
 func (f *flight) refuse(reason Reason, after time.Duration) {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -28,7 +28,7 @@
 // goes on at another endpoint where the route allows it, and else the caller's
 // connection is broken, so that the answer doesn't look complete.
 func (f *flight) stream(ctx context.Context, e *buckthornpin.Endpoint, a *Answer, begun func()) bool {
-	err := f.pass(e, a, begun)
+	err := f.pass(a, begun)
 	if err == nil {
 		f.router.tracker.Succeeded(e.ID, a.Status)
 		f.finish(e)
@@ -77,7 +77,7 @@
 var errCaller = errors.New("caller is gone")
 
 // pass passes the whole events of one run on.
-func (f *flight) pass(e *buckthornpin.Endpoint, a *Answer, begun func()) error {
+func (f *flight) pass(a *Answer, begun func()) error {
 	buf := make([]byte, 0, bodyBuffer)
 	part := make([]byte, bodyBuffer)
 	for {
