--- a/budget/share.go
+++ b/budget/share.go
@@ -113,6 +113,16 @@
 	}
 }
 
+// richest returns the router that has lately told of the largest balance.
+func (s *share) richest(now time.Time) (address string, best peerBalance) {
+	for a, p := range s.peers {
+		if now.Sub(p.at) <= balanceLasts && p.tokens > best.tokens {
+			address, best = a, p
+		}
+	}
+	return address, best
+}
+
 func (s *share) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
--- a/budget/wallet.go
+++ b/budget/wallet.go
@@ -36,8 +36,10 @@
 	// before it gives the surplus back: what is held can be lost with the router,
 	// but a smaller part would go back and forth with each request.
 	surplusDivisor = 4
-	// levelFactor is how many times the own balance another router has to hold,
-	// by demand, before a part of it is asked for without need.
+	// lowSpan is the time of demand below which a balance counts as low.
+	lowSpan = time.Second
+	// levelFactor is how many times the own balance another router has to hold
+	// before a part of it is asked for without need.
 	levelFactor = 2
 )
 
@@ -396,8 +398,8 @@
 	}
 }
 
-// level asks another router for a part of its balance where that is large
-// against the own one, so that a request later finds what it needs here.
+// level asks another router for a part of its balance before the own one is spent,
+// so that a request later finds what it needs here.
 func (w *Wallet) level(ctx context.Context) {
 	w.mu.Lock()
 	type wish struct {
@@ -408,14 +410,12 @@
 	var wishes []wish
 	now := time.Now()
 	for name, s := range w.shares {
-		if w.closing || s.rate.now(now) < 1 {
+		low := int64(s.rate.now(now) * lowSpan.Seconds())
+		if w.closing || s.balance() >= low {
 			continue
 		}
-		for address, p := range s.peers {
-			if now.Sub(p.at) <= balanceLasts && p.tokens > levelFactor*max(s.balance(), 1) {
-				wishes = append(wishes, wish{name: name, address: address, s: s, tokens: (p.tokens - s.balance()) / 2})
-				break
-			}
+		if address, p := s.richest(now); p.tokens > levelFactor*max(s.balance(), 1) {
+			wishes = append(wishes, wish{name: name, address: address, s: s, tokens: p.tokens})
 		}
 	}
 	w.mu.Unlock()
--- a/ledger/share.go
+++ b/ledger/share.go
@@ -20,10 +20,9 @@
 	outDivisor = 2
 	// idleDivisor is the part of a budget without demand that is handed out.
 	idleDivisor = 4
-	// leastWeight is the part of the mean demand that a router without demand
-	// counts for: its first requests must be covered in a cut too, until other
-	// routers have lent it a part of theirs.
-	leastWeight = 16
+	// ownSpanMS is the time for which a router holds its own demand: a few reports
+	// to control, and what borrowing from another router takes.
+	ownSpanMS = 1_500
 )
 
 // shareKey names one router process.
@@ -106,11 +105,13 @@
 	}
 }
 
-// target returns how many unspent tokens a router should hold: what its demand
-// takes over the horizon, and no more than its part, by demand, of what no router
-// has spent. What isn't handed out can't be lost with a router. As long as the
-// part allows, one request of the largest size seen is covered, however low the
-// demand.
+// target returns how many unspent tokens a router should hold. All routers
+// together hold what the demand takes over the horizon, but no more than a part
+// of what no router has spent: what isn't handed out can't be lost with a router.
+// Each holds what its own demand takes for a moment, and an even part of the
+// rest, whose owner borrows it in a cut: so a lost router takes little with it
+// even if one organisation calls only there. As long as there is enough, one
+// request of the largest size seen is covered, however low the demand.
 func (a *allowance) target(s *wire.ShareState, largest, horizonMS, nowMS int64) int64 {
 	pool, rates, n := max(a.total-a.out, 0), int64(0), int64(0)
 	for _, o := range a.shares {
@@ -123,11 +124,13 @@
 	if rates == 0 {
 		return pool / (n * idleDivisor)
 	}
-	least := float64(rates) / float64(n*leastWeight)
-	demand := float64(s.GetRate()) + least
-	part := float64(pool) / outDivisor * demand / (float64(rates) + float64(n)*least)
+	span := min(ownSpanMS, horizonMS)
+	own := float64(s.GetRate()) * float64(span) / 1000
+	common := float64(rates) * float64(horizonMS-span) / 1000 / float64(n)
+	all := float64(rates) * float64(horizonMS) / 1000
+	scale := min(1, float64(pool)/outDivisor/all)
 	even := float64(pool) / float64(n*idleDivisor)
-	return int64(max(min(part, demand*float64(horizonMS)/1000), min(even, float64(largest))))
+	return int64(max(scale*(own+common), min(even, float64(largest))))
 }
 
 // grant returns how many tokens a router gets now: what lacks to its target, and
