--- /dev/null
+++ b/relay/flight_test.go
@@ -0,0 +1,241 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"buckthornpin"
+	"buckthornpin/route"
+	"buckthornpin/site"
+)
+
+// script is what endpoints do with one dispatch after the other.
+type script struct {
+	t     *testing.T
+	steps []step
+	sent  []Dispatch
+}
+
+type step struct {
+	answer *Answer
+	err    error
+	// wait keeps the answer back until the request ends.
+	wait bool
+}
+
+// Send implements Endpoints.
+func (s *script) Send(ctx context.Context, d Dispatch) (*Answer, error) {
+	require.Less(s.t, len(s.sent), len(s.steps), "one dispatch too many")
+	next := s.steps[len(s.sent)]
+	s.sent = append(s.sent, d)
+	if next.wait {
+		<-ctx.Done()
+		return nil, &Error{Op: "send", Kind: KindBroken, Err: ctx.Err()}
+	}
+	return next.answer, next.err
+}
+
+// recorded is what a caller gets.
+type recorded struct {
+	status  int
+	body    strings.Builder
+	refusal Refusal
+	broken  bool
+}
+
+func (r *recorded) Refuse(f Refusal)                                     { r.refusal = f }
+func (r *recorded) Begin(status int, _ http.Header, _ int64)             { r.status = status }
+func (r *recorded) Write(p []byte) error                                 { r.body.Write(p); return nil }
+func (r *recorded) Break()                                               { r.broken = true }
+func (r *recorded) Others(string) route.Load                             { return route.Load{} }
+func (r *recorded) MarkLeaving(string, int64)                            {}
+func (r *recorded) Serving(buckthornpin.Target) []*buckthornpin.Endpoint { return endpoints }
+
+var endpoints = []*buckthornpin.Endpoint{{ID: "e1", Capacity: 8}, {ID: "e2", Capacity: 8}, {ID: "e3", Capacity: 8}}
+
+// account notes what is charged.
+type account struct{ reserved, spent int64 }
+
+func (a *account) Reserve(_ context.Context, _ string, tokens int64) Cover {
+	a.reserved += tokens
+	return Covered
+}
+
+func (a *account) Settle(_ string, reserved, spent int64) {
+	a.reserved -= reserved
+	a.spent += spent
+}
+
+// breaking is a body that breaks off after its content.
+type breaking struct{ io.Reader }
+
+func (b *breaking) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+func events(ids string) string {
+	var b strings.Builder
+	for _, id := range strings.Split(ids, "") {
+		b.WriteString("id: " + id + "\ndata: x\n\n")
+	}
+	return b.String()
+}
+
+func answer(status int, body io.Reader, header http.Header) *Answer {
+	return &Answer{Status: status, Header: header, Length: -1, Body: io.NopCloser(body), Signed: true}
+}
+
+func stream(body string) *Answer {
+	return answer(200, strings.NewReader(body), http.Header{contentType: {eventStream}})
+}
+
+func brokenStream(body string) *Answer {
+	return answer(200, &breaking{strings.NewReader(body)}, http.Header{contentType: {eventStream}})
+}
+
+func plain(status int, body string) *Answer {
+	return answer(status, strings.NewReader(body), http.Header{})
+}
+
+func notRun() *Answer {
+	a := plain(503, "")
+	a.NotRun, a.Signed = true, false
+	return a
+}
+
+func unsigned() *Answer {
+	a := plain(200, "forged")
+	a.Signed = false
+	return a
+}
+
+var (
+	errNotSent = &Error{Op: "send", Kind: KindNotSent, Err: errors.New("refused")}
+	errBroken  = &Error{Op: "send", Kind: KindBroken, Err: errors.New("reset")}
+)
+
+// serve carries a request for a route through scripted endpoints.
+func serve(t *testing.T, path string, steps ...step) (*recorded, *script, *account) {
+	t.Helper()
+	engine := &site.Engine{Slots: 8, EventTokens: 6}
+	table := site.NewTable(site.Configuration{
+		Version:  1,
+		Services: []site.Service{{Name: "llm", Engine: engine}, {Name: "app"}},
+		Routes: []site.Route{
+			{Name: "once", Host: "h", PathPrefix: "/once/", Kind: site.KindNonIdempotent, Shares: []site.Share{{Service: "app", Weight: 1}}, Timeout: 200 * time.Millisecond, MaxAttempts: 3},
+			{Name: "safe", Host: "h", PathPrefix: "/safe/", Kind: site.KindIdempotent, Shares: []site.Share{{Service: "app", Weight: 1}}, Timeout: 200 * time.Millisecond, MaxAttempts: 2},
+			{Name: "chat", Host: "h", PathPrefix: "/chat/", Kind: site.KindStream, Shares: []site.Share{{Service: "llm", Weight: 1}}, Timeout: 200 * time.Millisecond, MaxAttempts: 2, Objective: time.Millisecond},
+			{Name: "resume", Host: "h", PathPrefix: "/resume/", Kind: site.KindStream, Shares: []site.Share{{Service: "llm", Weight: 1}}, Timeout: 200 * time.Millisecond, MaxAttempts: 2, Resumable: true},
+		},
+		Organisations: []site.Organisation{{Name: "fleet", Keys: []string{"k"}, Prepaid: 10_000}},
+	})
+	reply, s, funds := &recorded{}, &script{t: t, steps: steps}, &account{}
+	r := &Router{
+		Site: func() *site.Table { return table }, Directory: reply, Endpoints: s, Funds: funds, Loads: reply, Log: zerolog.Nop(),
+		Retries: &Retries{Ratio: 1, Slack: 100, Window: time.Minute, Routers: func() int { return 1 }},
+	}
+	r.Serve(context.Background(), &Request{
+		ID: "r1", Method: "POST", Host: "h", Path: path, Key: "k", Arrived: time.Now(), Prompt: Prompt{Tokens: 100, MaxOutput: 60},
+	}, reply)
+	require.Len(t, s.sent, len(steps), "each step was used")
+	require.Zero(t, funds.reserved, "nothing stays reserved")
+	return reply, s, funds
+}
+
+// TestNonIdempotentRunsAtMostOnce: it is sent on only where an endpoint says that
+// it didn't run it, or where no byte has left; all else is no promise.
+func TestNonIdempotentRunsAtMostOnce(t *testing.T) {
+	t.Run("not run", func(t *testing.T) {
+		reply, _, _ := serve(t, "/once/x", step{answer: notRun()}, step{answer: plain(200, "ok")})
+		require.Equal(t, "ok", reply.body.String())
+	})
+	t.Run("not sent", func(t *testing.T) {
+		reply, _, _ := serve(t, "/once/x", step{err: errNotSent}, step{answer: plain(200, "ok")})
+		require.Equal(t, "ok", reply.body.String())
+	})
+	t.Run("broken before the answer", func(t *testing.T) {
+		reply, _, _ := serve(t, "/once/x", step{err: errBroken})
+		require.Equal(t, ReasonBroken, reply.refusal.Reason)
+	})
+	t.Run("broken answer", func(t *testing.T) {
+		reply, _, _ := serve(t, "/once/x", step{answer: answer(200, &breaking{strings.NewReader("o")}, http.Header{})})
+		require.Equal(t, ReasonBroken, reply.refusal.Reason)
+		require.Empty(t, reply.body.String())
+	})
+	t.Run("unsigned answer", func(t *testing.T) {
+		reply, _, _ := serve(t, "/once/x", step{answer: unsigned()})
+		require.Equal(t, ReasonBroken, reply.refusal.Reason)
+	})
+	t.Run("endpoint error is passed on", func(t *testing.T) {
+		reply, _, _ := serve(t, "/once/x", step{answer: plain(500, "bad")})
+		require.Equal(t, 500, reply.status)
+	})
+}
+
+// TestIdempotentIsTriedAgain within the attempts that the route allows.
+func TestIdempotentIsTriedAgain(t *testing.T) {
+	t.Run("endpoint error", func(t *testing.T) {
+		reply, s, _ := serve(t, "/safe/x", step{answer: plain(500, "bad")}, step{answer: plain(200, "ok")})
+		require.Equal(t, "ok", reply.body.String())
+		require.NotEqual(t, s.sent[0].Endpoint.ID, s.sent[1].Endpoint.ID)
+	})
+	t.Run("broken twice", func(t *testing.T) {
+		reply, _, _ := serve(t, "/safe/x", step{err: errBroken}, step{err: errBroken})
+		require.Equal(t, ReasonBroken, reply.refusal.Reason)
+	})
+	t.Run("full twice is a promise", func(t *testing.T) {
+		reply, _, _ := serve(t, "/safe/x", step{answer: notRun()}, step{answer: notRun()})
+		require.Equal(t, ReasonFull, reply.refusal.Reason)
+	})
+	t.Run("no answer in time", func(t *testing.T) {
+		reply, _, _ := serve(t, "/safe/x", step{wait: true})
+		require.Equal(t, ReasonNoAnswer, reply.refusal.Reason)
+	})
+}
+
+// TestStream covers streams that break.
+func TestStream(t *testing.T) {
+	t.Run("whole", func(t *testing.T) {
+		reply, _, funds := serve(t, "/chat/x", step{answer: stream(events("123"))})
+		require.Equal(t, events("123"), reply.body.String())
+		require.Equal(t, int64(100+3*6), funds.spent)
+	})
+	t.Run("goes on behind the last whole event", func(t *testing.T) {
+		reply, s, funds := serve(t, "/resume/x", step{answer: brokenStream(events("12") + "id: 3\nda")}, step{answer: stream(events("34"))})
+		require.Equal(t, events("1234"), reply.body.String())
+		require.Equal(t, "2", s.sent[1].LastEvent)
+		require.Equal(t, int64(100+4*6), funds.spent, "the prompt is charged once")
+	})
+	t.Run("can't go on", func(t *testing.T) {
+		reply, _, funds := serve(t, "/chat/x", step{answer: brokenStream(events("12"))})
+		require.True(t, reply.broken)
+		require.Equal(t, int64(100+2*6), funds.spent)
+	})
+	t.Run("ends within an event", func(t *testing.T) {
+		reply, _, _ := serve(t, "/chat/x", step{answer: stream(events("1") + "id: 2\nda")})
+		require.True(t, reply.broken)
+		require.Equal(t, events("1"), reply.body.String())
+	})
+	t.Run("nothing delivered costs nothing", func(t *testing.T) {
+		reply, _, funds := serve(t, "/chat/x", step{err: errBroken})
+		require.Equal(t, ReasonBroken, reply.refusal.Reason)
+		require.Zero(t, funds.spent)
+	})
+	t.Run("second endpoint fails too", func(t *testing.T) {
+		reply, _, _ := serve(t, "/resume/x", step{answer: brokenStream(events("1"))}, step{answer: brokenStream(events("2"))})
+		require.True(t, reply.broken)
+		require.Equal(t, events("12"), reply.body.String())
+	})
+}
