--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -16,6 +16,8 @@
 func (f *flight) attempt(ctx context.Context, e *buckthornpin.Endpoint) bool {
 	run := f.router.tracker.Start(e.ID, f.work(), time.Now())
 	defer run.End()
+	f.current = run
+	f.others = f.router.Loads.Others(e.ID)
 	sendCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	a, err := f.router.Endpoints.Send(sendCtx, f.dispatch(e))
@@ -103,6 +105,7 @@
 		}
 		return false
 	}
+	f.firstAt = time.Now()
 	begun()
 	f.router.tracker.Succeeded(e.ID, a.Status)
 	f.reply.Begin(a.Status, a.Header, int64(len(body)))
@@ -119,7 +122,10 @@
 
 func (f *flight) done(outcome string, e *buckthornpin.Endpoint) {
 	f.outcome = outcome
-	f.log(outcome).Str("endpoint", e.ID).Int64("events", f.events.delivered).Msg("request has ended")
+	f.log(outcome).Str("endpoint", e.ID).Int64("events", f.events.delivered).Int64("first_ms", f.firstAt.Sub(f.request.Arrived).Milliseconds()).
+		Int64("prompt", f.request.Prompt.Tokens).Int64("missing", f.current.Missing).
+		Int64("own_tokens", f.current.Before.PromptTokens).Int("own_running", f.current.Before.Running).
+		Int64("other_tokens", f.others.PromptTokens).Int("other_running", f.others.Running).Msg("request has ended")
 }
 
 // log begins a line on a decision about the request.
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -29,6 +29,11 @@
 	ran     bool
 	outcome string
 	events  eventCount
+	// current is the newest attempt, others what other routers had told of its
+	// endpoint, and firstAt the time of the first part of the answer.
+	current *route.Run
+	others  route.Load
+	firstAt time.Time
 }
 
 // eventCount is what a stream has delivered.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -111,6 +111,7 @@
 func (f *flight) beginOnce(a *Answer) {
 	if !f.events.begun {
 		f.events.begun = true
+		f.firstAt = time.Now()
 		f.reply.Begin(a.Status, a.Header, a.Length)
 	}
 }
--- a/route/tracker.go
+++ b/route/tracker.go
@@ -76,6 +76,10 @@
 	endpoint string
 	tokens   int64
 	ended    bool
+	// Missing are the tokens of the prompt that the endpoint wasn't known to keep,
+	// Before what it had under way for this router when the request was sent.
+	Missing int64
+	Before  Load
 }
 
 func (t *Tracker) state(id string) *engineState {
@@ -95,7 +99,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.state(id)
-	r := &Run{tracker: t, endpoint: id, tokens: s.missing(w)}
+	r := &Run{tracker: t, endpoint: id, tokens: s.missing(w), Before: s.load}
+	r.Missing = r.tokens
 	s.load.Running++
 	s.load.PromptTokens += r.tokens
 	for _, p := range w.Parts {
