Count the home of a prompt as keeping it in the load too

Cause: a request at the home of its shared parts counted there as reading all of its prompt, unless this router had sent the parts itself.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -9,12 +9,14 @@
 	"github.com/rs/zerolog"
 
 	"buckthornpin"
+	"buckthornpin/route"
 )
 
 // attempt sends the request to one endpoint. It reports whether the request has
 // its final answer.
-func (f *flight) attempt(ctx context.Context, e *buckthornpin.Endpoint) bool {
-	run := f.router.tracker.Start(e.ID, f.work(), time.Now())
+func (f *flight) attempt(ctx context.Context, c route.Choice) bool {
+	e := c.Endpoint
+	run := f.router.tracker.Start(c, f.work(), time.Now())
 	defer run.End()
 	f.current = run
 	f.others = f.router.Loads.Others(e.ID)
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -127,13 +127,13 @@
 func (f *flight) attempts(ctx context.Context) {
 	f.tried = map[string]bool{}
 	for {
-		e := f.choose()
-		if e == nil {
+		c, ok := f.choose()
+		if !ok {
 			f.noEndpoint()
 			return
 		}
-		f.tried[e.ID] = true
-		if f.attempt(ctx, e) {
+		f.tried[c.Endpoint.ID] = true
+		if f.attempt(ctx, c) {
 			return
 		}
 		if ctx.Err() != nil {
@@ -148,7 +148,7 @@
 }
 
 // choose picks an endpoint that hasn't been tried.
-func (f *flight) choose() *buckthornpin.Endpoint {
+func (f *flight) choose() (route.Choice, bool) {
 	r := f.router
 	all := r.Directory.Serving(buckthornpin.Target{Service: f.service.Name})
 	candidates := make([]route.Engine, 0, len(all))
--- a/route/tracker.go
+++ b/route/tracker.go
@@ -42,7 +42,7 @@
 const (
 	// runningTokens is what one running request delays others by, in tokens of
 	// prompt: a step of a batch takes about as long as reading this many.
-	runningTokens = 300
+	runningTokens = 100
 	// plainTokens is the weight of one request at a plain service.
 	plainTokens = 1000
 	// otherZoneTokens is what a move to another zone has to save.
@@ -94,13 +94,19 @@
 	return s
 }
 
-// Start notes that a request is sent to an endpoint.
-func (t *Tracker) Start(id string, w Work, now time.Time) *Run {
+// Choice is an endpoint and the tokens of the prompt that it is expected to read.
+type Choice struct {
+	Endpoint *buckthornpin.Endpoint
+	Missing  int64
+}
+
+// Start notes that a request is sent to the chosen endpoint.
+func (t *Tracker) Start(c Choice, w Work, now time.Time) *Run {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	id := c.Endpoint.ID
 	s := t.state(id)
-	r := &Run{tracker: t, endpoint: id, tokens: s.missing(w), Before: s.load}
-	r.Missing = r.tokens
+	r := &Run{tracker: t, endpoint: id, tokens: c.Missing, Missing: c.Missing, Before: s.load}
 	s.load.Running++
 	s.load.PromptTokens += r.tokens
 	for _, p := range w.Parts {
@@ -189,18 +195,18 @@
 	return out
 }
 
-// Choose returns the endpoint at which the request is expected to begin first,
-// nil where there is none. Endpoints that failed lately come last.
-func (t *Tracker) Choose(all []Engine, w Work, zone string, now time.Time) *buckthornpin.Endpoint {
+// Choose returns the endpoint at which the request is expected to begin first;
+// ok is false where there is none. Endpoints that failed lately come last.
+func (t *Tracker) Choose(all []Engine, w Work, zone string, now time.Time) (best Choice, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var best *buckthornpin.Endpoint
 	var bestCost int64
 	var bestRank uint64
 	home := homeOf(all, w)
 	for _, e := range all {
 		s := t.state(e.Endpoint.ID)
-		cost := s.cost(e, w, e.Endpoint.ID == home)
+		missing := s.expected(w, e.Endpoint.ID == home)
+		cost := s.cost(e, w, missing)
 		if e.Endpoint.Zone != zone {
 			cost += otherZoneTokens
 		}
@@ -208,26 +214,34 @@
 			cost += 1 << 40
 		}
 		rank := rankOf(e.Endpoint.ID, w)
-		if best == nil || cost < bestCost || cost == bestCost && rank > bestRank {
-			best, bestCost, bestRank = e.Endpoint, cost, rank
+		if !ok || cost < bestCost || cost == bestCost && rank > bestRank {
+			best, bestCost, bestRank, ok = Choice{Endpoint: e.Endpoint, Missing: missing}, cost, rank, true
 		}
 	}
-	return best
+	return best, ok
+}
+
+// expected returns the tokens of a prompt that an endpoint is expected to read.
+// The home of a prompt's shared parts is expected to keep them, as other routers
+// send there too.
+func (s *engineState) expected(w Work, home bool) int64 {
+	if !w.Model {
+		return 0
+	}
+	if home {
+		return min(s.missing(w), ownTokens(w))
+	}
+	return s.missing(w)
 }
 
 // cost is the work before the request at an endpoint and its own, in tokens of
-// prompt. The home of a prompt's shared parts is expected to keep them, as other
-// routers send there too.
-func (s *engineState) cost(e Engine, w Work, home bool) int64 {
+// prompt.
+func (s *engineState) cost(e Engine, w Work, missing int64) int64 {
 	running := int64(s.load.Running + e.Others.Running)
 	if !w.Model {
 		return running * plainTokens / int64(max(e.Endpoint.Capacity, 1))
 	}
-	own := s.missing(w)
-	if home {
-		own = min(own, ownTokens(w))
-	}
-	return own + s.load.PromptTokens + e.Others.PromptTokens + running*runningTokens
+	return missing + s.load.PromptTokens + e.Others.PromptTokens + running*runningTokens
 }
 
 // ownTokens is the part of a prompt that no other request shares.
