--- a/app/fleet.go
+++ b/app/fleet.go
@@ -126,6 +126,7 @@
 		Nodes: f.nodes, Directory: f.directory, HTTP: f.dialer.Internal(), Scheme: f.dialer.Scheme(),
 		Seeds: f.otherSeeds, Log: f.Log,
 	}
+	f.mesh.Open()
 	f.client = &ctrl.Client{Known: f.controls, HTTP: f.dialer.Internal(), Scheme: f.dialer.Scheme()}
 }
 
@@ -311,7 +312,7 @@
 		(&ctrl.Service{Replica: f.replica, Events: f.events}).Register(mux, opts...)
 		parts = append(parts, part{"replica", f.replica.Run}, part{"links", f.links.Run}, part{"joiner", f.joiner.Run})
 	} else {
-		parts = append(parts, part{"mirror", f.mirror.Run}, part{"wallet", f.wallet.Run}, part{"sweep", f.sweep})
+		parts = append(parts, part{"mirror", f.mirror.Run}, part{"wallet", f.wallet.Run}, part{"loads", f.mesh.RunLoads}, part{"sweep", f.sweep})
 	}
 	served := f.addressesServed(mux)
 	for _, s := range served {
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -59,6 +59,8 @@
 	OwnLoads func() map[string]route.Load
 	Log      zerolog.Logger
 
+	// changed tells that a load has changed that others should know at once.
+	changed chan struct{}
 	mu      sync.Mutex
 	clients map[string]wire.MeshClient
 	loads   map[string]routerLoads
@@ -74,6 +76,44 @@
 // loadsLast is how long what a router has under way counts after it was told.
 const loadsLast = 4 * MeshInterval
 
+// Open prepares the mesh. It comes before Run and LoadChanged.
+func (m *Mesh) Open() { m.changed = make(chan struct{}, 1) }
+
+// LoadChanged tells the other routers at once what this one has under way. Changes
+// that come while others are told travel together.
+func (m *Mesh) LoadChanged() {
+	select {
+	case m.changed <- struct{}{}:
+	default:
+	}
+}
+
+// RunLoads tells loads that have changed until ctx ends.
+func (m *Mesh) RunLoads(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-m.changed:
+		}
+		r := &wire.TellRequest{Vm: m.Nodes.Self.Address, Incarnation: m.Nodes.Self.Incarnation, Loads: m.loadStates()}
+		var all sync.WaitGroup
+		for _, address := range draw(m.Nodes.Routers(time.Now()), fanOut) {
+			all.Go(func() { m.tellLoads(ctx, address, r) })
+		}
+		all.Wait()
+	}
+}
+
+// loadsTimeout bounds the telling of loads, which are old news after that.
+const loadsTimeout = 100 * time.Millisecond
+
+func (m *Mesh) tellLoads(ctx context.Context, address string, r *wire.TellRequest) {
+	ctx, cancel := context.WithTimeout(ctx, loadsTimeout)
+	defer cancel()
+	_, _ = m.client(address).Tell(ctx, r)
+}
+
 // Run tells others until ctx ends.
 func (m *Mesh) Run(ctx context.Context) error {
 	interval := MeshInterval
@@ -154,14 +194,21 @@
 	if m.Budgets != nil {
 		r.Balances = m.Budgets.Balances()
 	}
-	if m.OwnLoads != nil {
-		for id, l := range m.OwnLoads() {
-			r.Loads = append(r.Loads, &wire.LoadState{Endpoint: id, Running: int32(l.Running), PromptTokens: l.PromptTokens})
-		}
-	}
+	r.Loads = m.loadStates()
 	return r
 }
 
+func (m *Mesh) loadStates() []*wire.LoadState {
+	if m.OwnLoads == nil {
+		return nil
+	}
+	var out []*wire.LoadState
+	for id, l := range m.OwnLoads() {
+		out = append(out, &wire.LoadState{Endpoint: id, Running: int32(l.Running), PromptTokens: l.PromptTokens})
+	}
+	return out
+}
+
 // tell tells one process. Where the digests differ each side tells the other all
 // that it knows.
 func (m *Mesh) tell(ctx context.Context, address string, r *wire.TellRequest) {
@@ -204,7 +251,7 @@
 		m.Budgets.TakeBalances(r.GetVm(), r.GetIncarnation(), r.GetBalances())
 	}
 	reply := &wire.TellReply{}
-	if known := m.Nodes.States(); len(known) > len(r.GetNodes()) {
+	if known := m.Nodes.States(); len(r.GetNodes()) > 0 && len(known) > len(r.GetNodes()) {
 		reply.Nodes = known
 	}
 	if r.GetDigest() != 0 && r.GetDigest() != m.Directory.Digest() {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -20,6 +20,15 @@
 	defer run.End()
 	f.current = run
 	f.others = f.router.Loads.Others(e.ID)
+	heavy := f.heavy(c.Missing)
+	if heavy {
+		f.router.Loads.LoadChanged()
+	}
+	begun := func() {
+		if run.Begun() && heavy {
+			f.router.Loads.LoadChanged()
+		}
+	}
 	sendCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	a, err := f.router.Endpoints.Send(sendCtx, f.dispatch(e))
@@ -44,7 +53,18 @@
 		f.log("endpoint_error").Str("endpoint", e.ID).Int("status", a.Status).Msg("endpoint failed, trying another one")
 		return false
 	}
-	return f.deliver(ctx, e, a, run.Begun)
+	return f.deliver(ctx, e, a, begun)
+}
+
+// heavyDivisor is the part of a slot's even share of an endpoint's memory from
+// which on a prompt delays others noticeably.
+const heavyDivisor = 2
+
+// heavy reports whether other routers should know of a prompt at once: the
+// rounds of the mesh are too slow to keep two such prompts apart.
+func (f *flight) heavy(missing int64) bool {
+	e := f.service.Engine
+	return e != nil && missing*int64(e.Slots)*heavyDivisor >= e.MemoryTokens
 }
 
 // mayRepeat reports whether another attempt is allowed, without taking it from
--- a/relay/flight_test.go
+++ b/relay/flight_test.go
@@ -56,6 +56,7 @@
 func (r *recorded) Write(p []byte) error                                 { r.body.Write(p); return nil }
 func (r *recorded) Break()                                               { r.broken = true }
 func (r *recorded) Others(string) route.Load                             { return route.Load{} }
+func (r *recorded) LoadChanged()                                         {}
 func (r *recorded) MarkLeaving(string, int64)                            {}
 func (r *recorded) Serving(buckthornpin.Target) []*buckthornpin.Endpoint { return endpoints }
 
--- a/relay/router.go
+++ b/relay/router.go
@@ -44,6 +44,9 @@
 // Loads tells what other routers have under way at an endpoint.
 type Loads interface {
 	Others(endpoint string) route.Load
+	// LoadChanged tells other routers at once that this one has much more or less
+	// under way.
+	LoadChanged()
 }
 
 // Router carries requests. Its exported fields are set before Serve.
--- a/route/tracker.go
+++ b/route/tracker.go
@@ -142,12 +142,15 @@
 	return max(left, 0)
 }
 
-// Begun notes that the endpoint has read the prompt.
-func (r *Run) Begun() {
+// Begun notes that the endpoint has read the prompt. It reports whether that is
+// news.
+func (r *Run) Begun() bool {
 	r.tracker.mu.Lock()
 	defer r.tracker.mu.Unlock()
+	news := r.tokens > 0
 	r.tracker.state(r.endpoint).load.PromptTokens -= r.tokens
 	r.tokens = 0
+	return news
 }
 
 // End notes that the request is no longer under way.
