--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -24,6 +24,9 @@
 	// slowRounds is how many rounds of a router one round of a control process
 	// takes, which has less to tell and less processor time.
 	slowRounds = 3
+	// someNodes is how many other processes a message tells of: enough for an
+	// epidemic, and no more bytes with more processes.
+	someNodes = 2
 	// meshCompareRounds is the number of rounds between two comparisons of
 	// digests.
 	meshCompareRounds = 8
@@ -139,11 +142,13 @@
 	m.rounds++
 	targets := m.targets(now)
 	request := m.request(m.Directory.News())
+	alone := len(m.Nodes.Controls()) == 0
 	var all sync.WaitGroup
 	for i, address := range targets {
 		r := request
-		if i == 0 && m.rounds%meshCompareRounds == 1 {
+		if alone || i == 0 && m.rounds%meshCompareRounds == 1 {
 			r = m.request(request.GetEndpoints())
+			r.Nodes = m.Nodes.States()
 			r.Digest = m.Directory.Digest()
 		}
 		all.Go(func() { m.tell(ctx, address, r) })
@@ -189,7 +194,7 @@
 
 func (m *Mesh) request(news []*wire.EndpointState) *wire.TellRequest {
 	r := &wire.TellRequest{
-		Vm: m.Nodes.Self.Address, Incarnation: m.Nodes.Self.Incarnation, Nodes: m.Nodes.States(), Endpoints: news,
+		Vm: m.Nodes.Self.Address, Incarnation: m.Nodes.Self.Incarnation, Nodes: m.Nodes.Some(someNodes), Endpoints: news,
 	}
 	if m.Budgets != nil {
 		r.Balances = m.Budgets.Balances()
@@ -221,7 +226,9 @@
 	m.Nodes.Merge(reply.GetNodes(), time.Now())
 	m.Directory.Merge(reply.GetEndpoints())
 	if reply.GetDiffers() {
-		_, _ = m.client(address).Tell(ctx, m.request(m.Directory.States()))
+		full := m.request(m.Directory.States())
+		full.Nodes = m.Nodes.States()
+		_, _ = m.client(address).Tell(ctx, full)
 	}
 }
 
@@ -250,11 +257,11 @@
 	if m.Budgets != nil && len(r.GetBalances()) > 0 {
 		m.Budgets.TakeBalances(r.GetVm(), r.GetIncarnation(), r.GetBalances())
 	}
-	reply := &wire.TellReply{}
-	if known := m.Nodes.States(); len(r.GetNodes()) > 0 && len(known) > len(r.GetNodes()) {
-		reply.Nodes = known
+	if r.GetDigest() == 0 {
+		return &wire.TellReply{}, nil
 	}
-	if r.GetDigest() != 0 && r.GetDigest() != m.Directory.Digest() {
+	reply := &wire.TellReply{Nodes: m.Nodes.States()}
+	if r.GetDigest() != m.Directory.Digest() {
 		reply.Endpoints, reply.Differs = m.Directory.States(), true
 	}
 	return reply, nil
--- a/peer/nodes.go
+++ b/peer/nodes.go
@@ -94,11 +94,26 @@
 func (n *Nodes) States() []*wire.NodeState {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	out := make([]*wire.NodeState, 0, len(n.known)+1)
+	return n.sample(len(n.known))
+}
+
+// Some returns this process and a few others, drawn at random.
+func (n *Nodes) Some(others int) []*wire.NodeState {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.sample(others)
+}
+
+// sample returns this process and up to so many others; the order of a map is
+// random. The caller holds mu.
+func (n *Nodes) sample(others int) []*wire.NodeState {
 	self := n.Self
 	self.Beat = n.beat
-	out = append(out, nodeState(&self))
+	out := []*wire.NodeState{nodeState(&self)}
 	for _, k := range n.known {
+		if len(out) > others {
+			break
+		}
 		out = append(out, nodeState(k))
 	}
 	return out
