--- a/budget/share.go
+++ b/budget/share.go
@@ -80,6 +80,7 @@
 func (s *share) grant(total int64) {
 	if total > s.granted {
 		s.granted = total
+		s.dirty = true
 		s.wake()
 	}
 }
--- a/ledger/share.go
+++ b/ledger/share.go
@@ -8,9 +8,10 @@
 )
 
 const (
-	// shareSilenceMS is how long a router may be silent and still count in the
-	// division of a budget.
-	shareSilenceMS = 5_000
+	// silentHorizons is for how many horizons a silent router counts in the division
+	// of a budget: through a cut its demand goes on, and what is handed out to those
+	// that report first must not be divided by them alone.
+	silentHorizons = 3
 	// grantDivisor bounds one grant to this part of what is free, so that routers
 	// which report later find something left.
 	grantDivisor = 4
@@ -82,6 +83,7 @@
 	s := a.shares[k]
 	if s == nil {
 		s = &wire.ShareState{Organisation: r.GetOrganisation(), Router: k.router, Incarnation: k.incarnation}
+		a.succeed(k)
 		a.shares[k] = s
 	}
 	if r.GetReturned() > s.GetReturned() {
@@ -105,6 +107,15 @@
 	}
 }
 
+// succeed takes the earlier processes of a router out of the division.
+func (a *allowance) succeed(k shareKey) {
+	for old, s := range a.shares {
+		if old.router == k.router {
+			s.Rate, s.AtMs, s.Balance = 0, 0, 0
+		}
+	}
+}
+
 // target returns how many unspent tokens a router should hold. All routers
 // together hold what the demand takes over the horizon, but no more than a part
 // of what no router has spent: what isn't handed out can't be lost with a router.
@@ -115,7 +126,7 @@
 func (a *allowance) target(s *wire.ShareState, largest, horizonMS, nowMS int64) int64 {
 	pool, rates, n := max(a.total-a.out, 0), int64(0), int64(0)
 	for _, o := range a.shares {
-		if nowMS-o.GetAtMs() <= shareSilenceMS {
+		if o.GetAtMs() > 0 && nowMS-o.GetAtMs() <= silentHorizons*horizonMS {
 			pool += max(o.GetBalance(), 0)
 			rates += o.GetRate()
 			n++
--- a/ledger/share_test.go
+++ b/ledger/share_test.go
@@ -101,3 +101,13 @@
 	require.Equal(t, l.Site().GetVersion(), restored.Site().GetVersion())
 	require.Zero(t, routerReport(restored, 20, "b", &wire.ShareReport{Need: 1_000}).GetGranted())
 }
+
+// TestFirstReportAfterACut: the pattern is that of the end of each cut. The router
+// that reports first has no demand of its own and must not get a part of the
+// budget as if there were no other router.
+func TestFirstReportAfterACut(t *testing.T) {
+	l := budgetOf(10_000_000)
+	held := reportAll(l, map[string]int64{"a": 100_000})
+	g := routerReport(l, 1_000+60*400+horizonMS, "b", &wire.ShareReport{Balance: held["b"]})
+	require.LessOrEqual(t, g.GetTarget(), int64(100_000*horizonMS/1000/8))
+}
