--- a/app/fleet.go
+++ b/app/fleet.go
@@ -95,6 +95,7 @@
 	line := &event.Line{VM: f.Settings.VM, Role: roleName(f.Settings), Clock: &event.Clock{}}
 	f.events = &loggedEvents{line: line, log: f.Log}
 	f.metrics = new(expvar.Map)
+	f.metrics.Set("log_lines_dropped", &droppedLines)
 	f.setSeeds(p)
 	f.openMesh()
 	if f.Settings.Has(config.RoleControl) {
--- a/app/watch.go
+++ b/app/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"io"
 	"os"
 	"os/signal"
@@ -23,10 +24,13 @@
 	logLines = 4096
 )
 
+// droppedLines counts log lines that could not be written in time.
+var droppedLines expvar.Int
+
 // nonBlocking returns a writer that never waits, and a function that writes what
 // is left.
 func nonBlocking(w io.Writer) (io.Writer, func()) {
-	d := diode.NewWriter(w, logLines, 0, func(int) {})
+	d := diode.NewWriter(w, logLines, 0, func(missed int) { droppedLines.Add(int64(missed)) })
 	return d, func() { _ = d.Close() }
 }
 
--- a/budget/share.go
+++ b/budget/share.go
@@ -114,6 +114,15 @@
 	}
 }
 
+// others returns what other routers have told to hold.
+func (s *share) others() int64 {
+	sum := int64(0)
+	for _, p := range s.peers {
+		sum += max(p.tokens, 0)
+	}
+	return sum
+}
+
 // richest returns the router that has lately told of the largest balance.
 func (s *share) richest(now time.Time) (address string, best peerBalance) {
 	for a, p := range s.peers {
--- a/budget/wallet.go
+++ b/budget/wallet.go
@@ -124,24 +124,29 @@
 }
 
 // Reserve implements relay.Funds.
-func (w *Wallet) Reserve(ctx context.Context, organisation string, tokens int64) relay.Cover {
+func (w *Wallet) Reserve(ctx context.Context, organisation string, tokens int64) relay.Covering {
 	w.mu.Lock()
 	s := w.share(organisation)
 	if w.closing {
 		w.mu.Unlock()
-		return relay.Elsewhere
+		return relay.Covering{Cover: relay.Elsewhere}
 	}
 	if s.reserve(tokens, time.Now()) {
 		w.mu.Unlock()
 		w.metrics.covered.Add(1)
-		return relay.Covered
+		return relay.Covering{Cover: relay.Covered}
 	}
 	s.waiting += tokens
 	w.mu.Unlock()
 	cover := w.wait(ctx, organisation, s, tokens)
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	s.waiting -= tokens
-	w.mu.Unlock()
+	return w.covering(s, cover)
+}
+
+// covering counts an outcome and adds what it was decided on. The caller holds mu.
+func (w *Wallet) covering(s *share, cover relay.Cover) relay.Covering {
 	switch cover {
 	case relay.Covered:
 		w.metrics.covered.Add(1)
@@ -150,7 +155,7 @@
 	default:
 		w.metrics.elsewhere.Add(1)
 	}
-	return cover
+	return relay.Covering{Cover: cover, Balance: s.balance(), Others: s.others(), Free: s.free, ControlAge: time.Since(w.heardAt)}
 }
 
 // wait looks for tokens elsewhere until the request is covered or nothing more
@@ -165,10 +170,8 @@
 		}
 		changed, leads := s.changed, !s.acquiring
 		if leads && tried {
-			verdict, balance := w.verdict(s, tokens), s.balance()
+			verdict := w.verdict(s, tokens)
 			w.mu.Unlock()
-			w.Log.Info().Str("organisation", organisation).Int64("tokens", tokens).Int64("balance", balance).
-				Bool("spent", verdict == relay.Spent).Msg("budget doesn't cover a request")
 			return verdict
 		}
 		s.acquiring = s.acquiring || leads
@@ -189,15 +192,7 @@
 // verdict says whether the whole budget is known to be too small for a request.
 // The caller holds mu.
 func (w *Wallet) verdict(s *share, tokens int64) relay.Cover {
-	now := time.Now()
-	if now.Sub(w.heardAt) > heardWithin || s.reserved > 0 {
-		return relay.Elsewhere
-	}
-	sum := s.balance() + s.free
-	for _, p := range s.peers {
-		sum += max(p.tokens, 0)
-	}
-	if sum >= tokens {
+	if time.Since(w.heardAt) > heardWithin || s.reserved > 0 || s.balance()+s.free+s.others() >= tokens {
 		return relay.Elsewhere
 	}
 	return relay.Spent
--- a/budget/wallet_test.go
+++ b/budget/wallet_test.go
@@ -62,7 +62,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
-	return w.Reserve(ctx, "fleet", tokens)
+	return w.Reserve(ctx, "fleet", tokens).Cover
 }
 
 // TestGrantForAWaitingRequestIsKept: what control grants for a request that
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -96,15 +96,18 @@
 	most := f.request.Prompt.Tokens + f.request.Prompt.MaxOutput
 	ctx, cancel := context.WithTimeout(ctx, f.route.Objective/coverWait)
 	defer cancel()
-	switch f.router.Funds.Reserve(ctx, f.owner.Name, most) {
-	case Covered:
+	c := f.router.Funds.Reserve(ctx, f.owner.Name, most)
+	if c.Cover == Covered {
 		f.reserved = most
 		return true
-	case Spent:
+	}
+	f.log("not_covered").Int64("tokens", most).Int64("balance", c.Balance).Int64("other_routers", c.Others).
+		Int64("free", c.Free).Dur("control_age_ms", c.ControlAge).Msg("budget doesn't cover the request")
+	if c.Cover == Spent {
 		f.refuse(ReasonBudgetSpent, 0)
-	default:
-		f.refuse(ReasonBudgetElsewhere, f.retryAfter())
+		return false
 	}
+	f.refuse(ReasonBudgetElsewhere, f.retryAfter())
 	return false
 }
 
--- a/relay/flight_test.go
+++ b/relay/flight_test.go
@@ -65,9 +65,9 @@
 // account notes what is charged.
 type account struct{ reserved, spent int64 }
 
-func (a *account) Reserve(_ context.Context, _ string, tokens int64) Cover {
+func (a *account) Reserve(_ context.Context, _ string, tokens int64) Covering {
 	a.reserved += tokens
-	return Covered
+	return Covering{Cover: Covered}
 }
 
 func (a *account) Settle(_ string, reserved, spent int64) {
--- a/relay/router.go
+++ b/relay/router.go
@@ -18,7 +18,7 @@
 type Funds interface {
 	// Reserve holds tokens of an organisation's budget until Settle. It waits
 	// for shares of other routers until ctx ends.
-	Reserve(ctx context.Context, organisation string, tokens int64) Cover
+	Reserve(ctx context.Context, organisation string, tokens int64) Covering
 	// Settle ends a reservation of which some tokens were spent.
 	Settle(organisation string, reserved, spent int64)
 }
@@ -35,6 +35,16 @@
 	Spent
 )
 
+// Covering is the outcome of a reservation and what it was decided on.
+type Covering struct {
+	Cover Cover
+	// Balance is what this router held, Others what other routers had told to hold,
+	// and Free what control had said that no router holds, in tokens.
+	Balance, Others, Free int64
+	// ControlAge is the time since control answered last.
+	ControlAge time.Duration
+}
+
 // Directory knows the endpoints.
 type Directory interface {
 	Serving(t buckthornpin.Target) []*buckthornpin.Endpoint
