--- a/app/fleet.go
+++ b/app/fleet.go
@@ -27,6 +27,7 @@
 	"buckthornpin/relay"
 	"buckthornpin/site"
 	"buckthornpin/store"
+	"buckthornpin/wire"
 )
 
 const (
@@ -208,19 +209,35 @@
 	}
 	f.router = &relay.Router{
 		Zone: f.Settings.Zone, Site: f.mirror.Table, Directory: f.directory, Endpoints: &platf.Endpoints{Pool: f.pool},
-		Funds: f.wallet, Loads: f.mesh, Log: f.Log, Stopping: f.draining.Load,
+		Funds: f.wallet, Loads: f.mesh, Log: f.Log, Guard: &relay.Guard{LinkBytes: p.LinkMbps * 1e6 / 8},
 		Retries: &relay.Retries{
 			Ratio: p.RetryRatio, Slack: p.RetrySlack, Window: time.Duration(p.RetryWindow),
 			Routers: func() int { return 1 + len(f.nodes.Routers(time.Now())) },
 		},
 	}
+	f.router.Open()
 	f.mesh.Budgets = f.wallet
 	f.mesh.OwnLoads = f.router.OwnLoads
+	f.mesh.Crashes = f.crashes
+	f.mesh.TakeCrash = f.takeCrash
 	f.metrics.Set("router", f.router.Metrics())
 	f.metrics.Set("budget", f.wallet.Metrics())
 	f.metrics.Set("endpoint_connections", &f.dialed)
 }
 
+// crashes are those that other routers should hear of.
+func (f *Fleet) crashes() []*wire.CrashState {
+	var out []*wire.CrashState
+	for _, c := range f.router.Suspects().News(time.Now()) {
+		out = append(out, &wire.CrashState{Request: c.Request, Endpoint: c.Endpoint})
+	}
+	return out
+}
+
+func (f *Fleet) takeCrash(c *wire.CrashState) {
+	f.router.Suspects().Note(relay.Crash{Request: c.GetRequest(), Endpoint: c.GetEndpoint()}, time.Now())
+}
+
 // takeSite asks for shares of the budgets that a configuration names.
 func (f *Fleet) takeSite(t *site.Table) {
 	var charged []string
@@ -313,7 +330,7 @@
 		(&ctrl.Service{Replica: f.replica, Events: f.events}).Register(mux, opts...)
 		parts = append(parts, part{"replica", f.replica.Run}, part{"links", f.links.Run}, part{"joiner", f.joiner.Run})
 	} else {
-		parts = append(parts, part{"mirror", f.mirror.Run}, part{"wallet", f.wallet.Run}, part{"loads", f.mesh.RunLoads}, part{"sweep", f.sweep})
+		parts = append(parts, part{"mirror", f.mirror.Run}, part{"wallet", f.wallet.Run}, part{"loads", f.mesh.RunLoads}, part{"guard", f.router.Guard.Run}, part{"router", f.router.Run}, part{"sweep", f.sweep})
 	}
 	served := f.addressesServed(mux)
 	for _, s := range served {
@@ -384,6 +401,11 @@
 	return defaultBodyBytes
 }
 
+// Admit implements the ingress's router.
+func (f *Fleet) Admit(id, host, path string, bytes int64, now time.Time) (relay.Refusal, bool) {
+	return f.router.Admit(id, host, path, bytes, now)
+}
+
 // Serve implements the ingress's router.
 func (f *Fleet) Serve(r *http.Request, q *relay.Request, reply relay.Reply) {
 	f.router.Serve(r.Context(), q, reply)
--- a/config/settings.go
+++ b/config/settings.go
@@ -191,6 +191,8 @@
 	FirstStart bool `json:"first_start"`
 	// MemoryMB bounds the memory of the process, in MB.
 	MemoryMB int64 `json:"memory_mb"`
+	// LinkMbps is what the VM's link carries, in Mbit/s; 0 if unknown.
+	LinkMbps float64 `json:"link_mbps"`
 	// Heartbeat is the time between two heartbeats of an endpoint.
 	Heartbeat Duration `json:"heartbeat"`
 	// Contact is the time after a disruption in which a process has to be in touch again.
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -57,7 +57,10 @@
 	Options   []connect.ClientOption
 	// Seeds are addresses that are told as long as no other process is known.
 	Seeds func() []string
-	// Budgets and OwnLoads are nil in control processes.
+	// Crashes and TakeCrash exchange the endpoints that ended under a request.
+	Crashes   func() []*wire.CrashState
+	TakeCrash func(c *wire.CrashState)
+	// Budgets, OwnLoads, Crashes and TakeCrash are nil in control processes.
 	Budgets  Budgets
 	OwnLoads func() map[string]route.Load
 	Log      zerolog.Logger
@@ -200,6 +203,9 @@
 		r.Balances = m.Budgets.Balances()
 	}
 	r.Loads = m.loadStates()
+	if m.Crashes != nil {
+		r.Crashes = m.Crashes()
+	}
 	return r
 }
 
@@ -254,6 +260,11 @@
 	m.Nodes.Merge(r.GetNodes(), now)
 	m.Directory.Merge(r.GetEndpoints())
 	m.takeLoads(r, now)
+	for _, c := range r.GetCrashes() {
+		if m.TakeCrash != nil {
+			m.TakeCrash(c)
+		}
+	}
 	if m.Budgets != nil && len(r.GetBalances()) > 0 {
 		m.Budgets.TakeBalances(r.GetVm(), r.GetIncarnation(), r.GetBalances())
 	}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -95,6 +95,9 @@
 		if !f.route.Repeatable() {
 			f.sent = max(f.sent, f.route.MaxAttempts)
 		}
+		if ctx.Err() == nil {
+			f.router.suspects.Look(f.request, e)
+		}
 	}
 	f.log("attempt_failed").Str("endpoint", e.ID).Err(err).Msg("attempt got no answer")
 }
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -80,6 +80,10 @@
 			return false
 		}
 	}
+	if f.router.suspects.Convicted(q, time.Now()) {
+		f.refuse(ReasonQuarantined, suspectFor)
+		return false
+	}
 	f.service = f.table.Service(f.route.Pick(fraction(q.ID)))
 	return true
 }
--- a/relay/flight_test.go
+++ b/relay/flight_test.go
@@ -43,6 +43,9 @@
 	return next.answer, next.err
 }
 
+// Refuses implements Endpoints.
+func (s *script) Refuses(context.Context, string) bool { return false }
+
 // recorded is what a caller gets.
 type recorded struct {
 	status  int
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -22,6 +22,17 @@
 	latency  map[string]*hdrhistogram.Histogram
 }
 
+// count counts a request that was refused before it was read.
+func (m *metrics) count(reason Reason) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.outcomes == nil {
+		m.outcomes = map[string]int64{}
+		m.latency = map[string]*hdrhistogram.Histogram{}
+	}
+	m.outcomes[string(reason)]++
+}
+
 func (m *metrics) observe(f *flight, took time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/relay/request.go
+++ b/relay/request.go
@@ -81,6 +81,8 @@
 // nothing has left; any other one that the request may have run.
 type Endpoints interface {
 	Send(ctx context.Context, d Dispatch) (*Answer, error)
+	// Refuses reports whether nothing serves an address any more.
+	Refuses(ctx context.Context, address string) bool
 }
 
 // Reply is the way back to the caller.
@@ -111,6 +113,10 @@
 	ReasonNoEndpoint      Reason = "no_endpoint"
 	ReasonFull            Reason = "full"
 	ReasonStopping        Reason = "stopping"
+	// ReasonQuarantined is a request that has crashed several endpoints.
+	ReasonQuarantined Reason = "quarantined"
+	// ReasonOverload is a request that this VM can't carry in time; others can.
+	ReasonOverload Reason = "overload"
 	// ReasonTimeout is a request whose time has passed before it was sent.
 	ReasonTimeout Reason = "timeout"
 	// ReasonNoAnswer is a request that was sent and got no answer in time.
--- a/relay/router.go
+++ b/relay/router.go
@@ -69,10 +69,11 @@
 	Funds     Funds
 	Loads     Loads
 	Retries   *Retries
-	Log       zerolog.Logger
-	// Stopping reports whether the process is about to end.
-	Stopping func() bool
+	// Guard is nil where the VM's load isn't watched.
+	Guard *Guard
+	Log   zerolog.Logger
 
+	suspects Suspects
 	tracker  route.Tracker
 	inFlight atomic.Int64
 	metrics  metrics
@@ -84,9 +85,39 @@
 // Metrics returns the router's counters.
 func (r *Router) Metrics() expvar.Var { return r.metrics.variables() }
 
+// Suspects returns the requests that ran on endpoints which crashed.
+func (r *Router) Suspects() *Suspects { return &r.suspects }
+
+// Open prepares the router. It comes before Run and Serve.
+func (r *Router) Open() { r.suspects.Open() }
+
+// Run looks after requests that may crash endpoints until ctx ends.
+func (r *Router) Run(ctx context.Context) error { return r.suspects.Run(ctx, r.Endpoints, r.Log) }
+
 // OwnLoads returns what this router has under way, by endpoint.
 func (r *Router) OwnLoads() map[string]route.Load { return r.tracker.Loads() }
 
+// Admit decides whether a request can be carried, before its body is read. Without
+// it the refusal says why.
+func (r *Router) Admit(id, host, path string, bytes int64, now time.Time) (Refusal, bool) {
+	t := r.Site()
+	if r.Guard == nil || t == nil {
+		return Refusal{}, true
+	}
+	to := t.Route(host, path)
+	if to == nil || r.Guard.Admits(bytes, to.Objective, now) {
+		return Refusal{}, true
+	}
+	r.Log.Info().Str("request", id).Str("outcome", string(ReasonOverload)).Str("route", to.Name).Int64("bytes", bytes).
+		Dur("lag_ms", r.Guard.Lag()).Msg("request was turned away")
+	r.metrics.count(ReasonOverload)
+	return Refusal{Reason: ReasonOverload, RetryAfter: elsewhere}, false
+}
+
+// elsewhere is when a caller that was turned away should come again: it reaches
+// another router then, and needs no pause but what keeps a crowd apart.
+const elsewhere = 50 * time.Millisecond
+
 // Serve carries one request to its final answer.
 func (r *Router) Serve(ctx context.Context, q *Request, reply Reply) {
 	r.inFlight.Add(1)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -43,6 +43,7 @@
 		return true
 	}
 	f.router.tracker.Failed(e.ID, time.Now())
+	f.router.suspects.Look(f.request, e)
 	if f.route.Resumable && f.sent < f.route.MaxAttempts {
 		f.log("resuming").Str("endpoint", e.ID).Str("last_event", f.events.lastID).Err(err).Msg("stream broke off")
 		return false
