--- a/app/fleet.go
+++ b/app/fleet.go
@@ -1,18 +1,13 @@
 package app
 
 import (
-	"context"
 	"expvar"
-	"net"
 	"net/http"
 	"runtime/debug"
 	"slices"
-	"strconv"
 	"sync/atomic"
 	"time"
 
-	"connectrpc.com/connect"
-	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 	"github.com/rs/zerolog"
 
@@ -21,7 +16,6 @@
 	"buckthornpin/conn"
 	"buckthornpin/ctrl"
 	"buckthornpin/event"
-	"buckthornpin/health"
 	"buckthornpin/peer"
 	platf "buckthornpin/platform"
 	"buckthornpin/relay"
@@ -255,129 +249,6 @@
 	return !f.draining.Load() && f.mirror.Table() != nil && len(f.directory.Endpoints()) > 0
 }
 
-// Run serves until ctx ends, then stops gracefully.
-func (f *Fleet) Run(ctx context.Context) error {
-	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	parts, err := f.parts(inner)
-	if err != nil {
-		return err
-	}
-	ended := make(chan partEnd, len(parts))
-	for _, part := range parts {
-		go func() { ended <- partEnd{name: part.name, err: part.run(inner)} }()
-	}
-	f.Log.Info().Str("build", f.Build.Version).Dur("took_ms", time.Since(f.started)).Strs("seeds", *f.seeds.Load()).Msg("started")
-	left := len(parts)
-	select {
-	case e := <-ended:
-		left--
-		err = errors.Wrapf(e.err, "part %s ended", e.name)
-	case <-ctx.Done():
-		f.drain(inner)
-	}
-	stop()
-	for ; left > 0; left-- {
-		if e := <-ended; e.err != nil && err == nil {
-			err = errors.Wrap(e.err, e.name)
-		}
-	}
-	f.Log.Info().Err(err).Msg("stopped")
-	return err
-}
-
-// drain turns readiness off, lets the balancer notice, finishes the requests in
-// progress and gives the budgets back.
-func (f *Fleet) drain(ctx context.Context) {
-	began := time.Now()
-	f.draining.Store(true)
-	f.nodes.SetStopping()
-	f.Log.Info().Msg("draining")
-	if f.router == nil {
-		return
-	}
-	grace := time.Duration(f.Settings.Platform.Grace)
-	front := f.servers[0]
-	front.SetKeepAlivesEnabled(false)
-	wait(ctx, min(balancerNotices, grace/3))
-	shutdown, cancel := context.WithDeadline(ctx, began.Add(grace-stopMargin))
-	err := front.Shutdown(shutdown)
-	cancel()
-	f.Log.Info().Err(err).Int64("in_progress", f.router.InProgress()).Msg("callers are served")
-	closing, cancel := context.WithTimeout(ctx, stopMargin/2)
-	defer cancel()
-	f.wallet.Close(closing, f.heirs())
-}
-
-func (f *Fleet) heirs() []string {
-	var out []string
-	for _, n := range f.nodes.Routers(time.Now()) {
-		if !n.Stopping {
-			out = append(out, n.Address)
-		}
-	}
-	return out
-}
-
-// parts returns the goroutines of the process.
-func (f *Fleet) parts(ctx context.Context) ([]part, error) {
-	mux := http.NewServeMux()
-	opts := []connect.HandlerOption{connect.WithReadMaxBytes(store.MaxRecordBytes), connect.WithCompressMinBytes(compressMinBytes)}
-	f.mesh.Register(mux, opts...)
-	parts := []part{{"mesh", f.mesh.Run}, {"reload", f.reload}}
-	if f.replica != nil {
-		f.links.Open(ctx)
-		(&ctrl.Service{Replica: f.replica, Events: f.events}).Register(mux, opts...)
-		parts = append(parts, part{"replica", f.replica.Run}, part{"links", f.links.Run}, part{"joiner", f.joiner.Run})
-	} else {
-		parts = append(parts, part{"mirror", f.mirror.Run}, part{"wallet", f.wallet.Run}, part{"loads", f.mesh.RunLoads}, part{"guard", f.router.Guard.Run}, part{"router", f.router.Run}, part{"sweep", f.sweep})
-	}
-	served := f.addressesServed(mux)
-	for _, s := range served {
-		l, err := net.Listen("tcp", s.address)
-		if err != nil {
-			return nil, &Error{Op: "listen", Kind: KindSetup, Err: err}
-		}
-		parts = append(parts, part{s.name, f.serve(l, s.server)})
-	}
-	return parts, nil
-}
-
-type servedAddress struct {
-	name, address string
-	server        *http.Server
-}
-
-// addressesServed are the listeners of the process; a router's callers come
-// first.
-func (f *Fleet) addressesServed(internal http.Handler) []servedAddress {
-	p := f.Settings.Platform
-	var out []servedAddress
-	if f.router != nil {
-		ingress := &platf.Ingress{Router: f, MaxBodyBytes: f.maxBody}
-		front := &http.Server{Handler: ingress, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdle, MaxHeaderBytes: callerHeaderBytes}
-		out = append(out, servedAddress{"callers", p.CallerAddress, front})
-		out = append(out, servedAddress{"ready", p.ReadyAddress, &http.Server{Handler: platf.ReadyHandler(f.Ready), ReadHeaderTimeout: callerHeaderTimeout}})
-	} else {
-		s := &platf.ControlServer{Control: &fleetControl{fleet: f}, Log: f.Log, Timeout: controlTimeout}
-		out = append(out, servedAddress{"control", p.ControlAddress, &http.Server{Handler: s.Handler(), ReadHeaderTimeout: callerHeaderTimeout}})
-	}
-	mesh := &http.Server{Handler: internal, Protocols: new(http.Protocols), ReadHeaderTimeout: callerHeaderTimeout}
-	mesh.Protocols.SetHTTP1(true)
-	mesh.Protocols.SetUnencryptedHTTP2(true)
-	mesh.HTTP2 = &http.HTTP2Config{SendPingTimeout: time.Duration(p.Contact) / 4, PingTimeout: time.Duration(p.Contact) / 4}
-	out = append(out, servedAddress{"internal", p.MeshAddress(), mesh})
-	m := &health.Server{Ready: f.alive, Draining: f.draining.Load, Metrics: f.metrics}
-	metrics := &http.Server{Handler: m.Handler(), ReadHeaderTimeout: callerHeaderTimeout}
-	out = append(out, servedAddress{"metrics", net.JoinHostPort(p.IP, strconv.Itoa(p.MetricsPort)), metrics})
-	for _, s := range out {
-		f.servers = append(f.servers, s.server)
-	}
-	return out
-}
-
-func (f *Fleet) alive() bool { return f.router == nil || f.Ready() }
-
 const (
 	// callerHeaderTimeout bounds how long a client may take for its headers; the
 	// platform's callers stay within the limit of the configuration, which is
@@ -393,73 +264,3 @@
 	// or a few.
 	controlTimeout = 3 * time.Second
 )
-
-func (f *Fleet) maxBody() int64 {
-	if t := f.mirror.Table(); t != nil && t.Limits.MaxBodyBytes > 0 {
-		return t.Limits.MaxBodyBytes
-	}
-	return defaultBodyBytes
-}
-
-// Admit implements the ingress's router.
-func (f *Fleet) Admit(id, host, path string, bytes int64, now time.Time) (relay.Refusal, bool) {
-	return f.router.Admit(id, host, path, bytes, now)
-}
-
-// Serve implements the ingress's router.
-func (f *Fleet) Serve(r *http.Request, q *relay.Request, reply relay.Reply) {
-	f.router.Serve(r.Context(), q, reply)
-}
-
-// serve runs a server until ctx ends.
-func (f *Fleet) serve(l net.Listener, s *http.Server) func(ctx context.Context) error {
-	return func(ctx context.Context) error {
-		done := make(chan error, 1)
-		go func() { done <- s.Serve(l) }()
-		select {
-		case err := <-done:
-			if errors.Is(err, http.ErrServerClosed) {
-				<-ctx.Done()
-				return nil
-			}
-			return err
-		case <-ctx.Done():
-			return s.Close()
-		}
-	}
-}
-
-// sweepInterval is the time between two looks for idle connections that are too
-// old.
-const sweepInterval = time.Second
-
-func (f *Fleet) sweep(ctx context.Context) error {
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			f.pool.Sweep(now)
-		}
-	}
-}
-
-// reload takes seeds from settings that have changed.
-func (f *Fleet) reload(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-f.Reloads:
-		}
-		s, err := f.Reload()
-		if err != nil {
-			f.Log.Error().Err(err).Msg("settings can't be used, the old ones stay in force")
-			continue
-		}
-		f.setSeeds(s.Platform)
-		f.Log.Info().Strs("seeds", s.Platform.SeedList()).Msg("settings are reloaded")
-	}
-}
--- /dev/null
+++ b/app/fleet_servers.go
@@ -0,0 +1,112 @@
+package app
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-faster/errors"
+
+	"buckthornpin/ctrl"
+	"buckthornpin/health"
+	platf "buckthornpin/platform"
+	"buckthornpin/relay"
+	"buckthornpin/store"
+)
+
+// parts returns the goroutines of the process.
+func (f *Fleet) parts(ctx context.Context) ([]part, error) {
+	mux := http.NewServeMux()
+	opts := []connect.HandlerOption{connect.WithReadMaxBytes(store.MaxRecordBytes), connect.WithCompressMinBytes(compressMinBytes)}
+	f.mesh.Register(mux, opts...)
+	parts := []part{{"mesh", f.mesh.Run}, {"reload", f.reload}}
+	if f.replica != nil {
+		f.links.Open(ctx)
+		(&ctrl.Service{Replica: f.replica, Events: f.events}).Register(mux, opts...)
+		parts = append(parts, part{"replica", f.replica.Run}, part{"links", f.links.Run}, part{"joiner", f.joiner.Run})
+	} else {
+		parts = append(parts, part{"mirror", f.mirror.Run}, part{"wallet", f.wallet.Run}, part{"loads", f.mesh.RunLoads}, part{"guard", f.router.Guard.Run}, part{"router", f.router.Run}, part{"sweep", f.sweep})
+	}
+	served := f.addressesServed(mux)
+	for _, s := range served {
+		l, err := net.Listen("tcp", s.address)
+		if err != nil {
+			return nil, &Error{Op: "listen", Kind: KindSetup, Err: err}
+		}
+		parts = append(parts, part{s.name, f.serve(l, s.server)})
+	}
+	return parts, nil
+}
+
+type servedAddress struct {
+	name, address string
+	server        *http.Server
+}
+
+// addressesServed are the listeners of the process; a router's callers come
+// first.
+func (f *Fleet) addressesServed(internal http.Handler) []servedAddress {
+	p := f.Settings.Platform
+	var out []servedAddress
+	if f.router != nil {
+		ingress := &platf.Ingress{Router: f, MaxBodyBytes: f.maxBody}
+		front := &http.Server{Handler: ingress, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdle, MaxHeaderBytes: callerHeaderBytes}
+		out = append(out, servedAddress{"callers", p.CallerAddress, front})
+		out = append(out, servedAddress{"ready", p.ReadyAddress, &http.Server{Handler: platf.ReadyHandler(f.Ready), ReadHeaderTimeout: callerHeaderTimeout}})
+	} else {
+		s := &platf.ControlServer{Control: &fleetControl{fleet: f}, Log: f.Log, Timeout: controlTimeout}
+		out = append(out, servedAddress{"control", p.ControlAddress, &http.Server{Handler: s.Handler(), ReadHeaderTimeout: callerHeaderTimeout}})
+	}
+	mesh := &http.Server{Handler: internal, Protocols: new(http.Protocols), ReadHeaderTimeout: callerHeaderTimeout}
+	mesh.Protocols.SetHTTP1(true)
+	mesh.Protocols.SetUnencryptedHTTP2(true)
+	mesh.HTTP2 = &http.HTTP2Config{SendPingTimeout: time.Duration(p.Contact) / 4, PingTimeout: time.Duration(p.Contact) / 4}
+	out = append(out, servedAddress{"internal", p.MeshAddress(), mesh})
+	m := &health.Server{Ready: f.alive, Draining: f.draining.Load, Metrics: f.metrics}
+	metrics := &http.Server{Handler: m.Handler(), ReadHeaderTimeout: callerHeaderTimeout}
+	out = append(out, servedAddress{"metrics", net.JoinHostPort(p.IP, strconv.Itoa(p.MetricsPort)), metrics})
+	for _, s := range out {
+		f.servers = append(f.servers, s.server)
+	}
+	return out
+}
+
+func (f *Fleet) alive() bool { return f.router == nil || f.Ready() }
+
+func (f *Fleet) maxBody() int64 {
+	if t := f.mirror.Table(); t != nil && t.Limits.MaxBodyBytes > 0 {
+		return t.Limits.MaxBodyBytes
+	}
+	return defaultBodyBytes
+}
+
+// Admit implements the ingress's router.
+func (f *Fleet) Admit(id, host, path string, bytes int64, now time.Time) (relay.Refusal, bool) {
+	return f.router.Admit(id, host, path, bytes, now)
+}
+
+// Serve implements the ingress's router.
+func (f *Fleet) Serve(r *http.Request, q *relay.Request, reply relay.Reply) {
+	f.router.Serve(r.Context(), q, reply)
+}
+
+// serve runs a server until ctx ends.
+func (f *Fleet) serve(l net.Listener, s *http.Server) func(ctx context.Context) error {
+	return func(ctx context.Context) error {
+		done := make(chan error, 1)
+		go func() { done <- s.Serve(l) }()
+		select {
+		case err := <-done:
+			if errors.Is(err, http.ErrServerClosed) {
+				<-ctx.Done()
+				return nil
+			}
+			return err
+		case <-ctx.Done():
+			return s.Close()
+		}
+	}
+}
--- /dev/null
+++ b/conn/pool.go
@@ -0,0 +1,150 @@
+package conn
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/sys/unix"
+)
+
+// Pool holds idle HTTP/1.1 connections. Unlike net/http it never sends a request
+// twice, and tells whether any byte of it has left. Its exported fields are set
+// before first use.
+type Pool struct {
+	// DialTimeout bounds how long a new connection may take.
+	DialTimeout time.Duration
+	// SilentAfter is how long a peer may leave data or keep-alive probes without
+	// an acknowledgement before the connection counts as dead.
+	SilentAfter time.Duration
+	// Dialed counts new connections, if set.
+	Dialed func()
+
+	mu   sync.Mutex
+	idle map[string][]*Link
+}
+
+func (p *Pool) put(l *Link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.idle == nil {
+		p.idle = map[string][]*Link{}
+	}
+	p.idle[l.address] = append(p.idle[l.address], l)
+}
+
+// link returns a living idle connection or a new one.
+func (p *Pool) link(ctx context.Context, address string) (*Link, error) {
+	for {
+		l := p.take(address)
+		if l == nil {
+			return p.dial(ctx, address)
+		}
+		if time.Now().Before(l.until) && l.quiet() {
+			return l, nil
+		}
+		_ = l.Close()
+	}
+}
+
+func (p *Pool) take(address string) *Link {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	all := p.idle[address]
+	if len(all) == 0 {
+		return nil
+	}
+	l := all[len(all)-1]
+	p.idle[address] = all[:len(all)-1]
+	return l
+}
+
+// Idle counts the idle connections to an address.
+func (p *Pool) Idle(address string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle[address])
+}
+
+// Sweep closes the connections whose idle time has passed.
+func (p *Pool) Sweep(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, all := range p.idle {
+		kept := all[:0]
+		for _, l := range all {
+			if now.Before(l.until) {
+				kept = append(kept, l)
+				continue
+			}
+			_ = l.Close()
+		}
+		p.idle[address] = kept
+		if len(kept) == 0 {
+			delete(p.idle, address)
+		}
+	}
+}
+
+func (p *Pool) dial(ctx context.Context, address string) (*Link, error) {
+	if p.Dialed != nil {
+		p.Dialed()
+	}
+	c, err := (&net.Dialer{Timeout: p.DialTimeout, KeepAliveConfig: probes(p.SilentAfter), Control: userTimeout(p.SilentAfter)}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &Link{Conn: c, pool: p, address: address, br: bufio.NewReaderSize(c, exchangeBuffer)}, nil
+}
+
+// probeCount is how many keep-alive probes may stay without an answer.
+const probeCount = 3
+
+// probes finds a peer that has gone silent within about the given time.
+func probes(silentAfter time.Duration) net.KeepAliveConfig {
+	if silentAfter <= 0 {
+		return net.KeepAliveConfig{}
+	}
+	every := max(silentAfter/probeCount, time.Second)
+	return net.KeepAliveConfig{Enable: true, Idle: every, Interval: every, Count: probeCount}
+}
+
+// userTimeout sets TCP_USER_TIMEOUT, which ends a connection whose data isn't
+// acknowledged.
+func userTimeout(d time.Duration) func(network, address string, c syscall.RawConn) error {
+	if d <= 0 {
+		return nil
+	}
+	return func(_, _ string, c syscall.RawConn) error {
+		var err error
+		ctrlErr := c.Control(func(fd uintptr) {
+			err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+		})
+		return errors.Join(ctrlErr, err)
+	}
+}
+
+// quiet reports whether an idle connection is open and has sent nothing: what
+// waits there can't be the answer to the next request.
+func (l *Link) quiet() bool {
+	sc, ok := l.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = errors.Is(err, unix.EAGAIN)
+		return true
+	})
+	return err == nil && quiet && l.SetDeadline(time.Time{}) == nil
+}
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -73,53 +73,6 @@
 	rounds  int
 }
 
-// routerLoads is what a router has said to have under way.
-type routerLoads struct {
-	at        time.Time
-	endpoints map[string]route.Load
-}
-
-// loadsLast is how long what a router has under way counts after it was told.
-const loadsLast = 4 * MeshInterval
-
-// Open prepares the mesh. It comes before Run and LoadChanged.
-func (m *Mesh) Open() { m.changed = make(chan struct{}, 1) }
-
-// LoadChanged tells the other routers at once what this one has under way. Changes
-// that come while others are told travel together.
-func (m *Mesh) LoadChanged() {
-	select {
-	case m.changed <- struct{}{}:
-	default:
-	}
-}
-
-// RunLoads tells loads that have changed until ctx ends.
-func (m *Mesh) RunLoads(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-m.changed:
-		}
-		r := &wire.TellRequest{Vm: m.Nodes.Self.Address, Incarnation: m.Nodes.Self.Incarnation, Loads: m.loadStates()}
-		var all sync.WaitGroup
-		for _, address := range draw(m.Nodes.Routers(time.Now()), fanOut) {
-			all.Go(func() { m.tellLoads(ctx, address, r) })
-		}
-		all.Wait()
-	}
-}
-
-// loadsTimeout bounds the telling of loads, which are old news after that.
-const loadsTimeout = 100 * time.Millisecond
-
-func (m *Mesh) tellLoads(ctx context.Context, address string, r *wire.TellRequest) {
-	ctx, cancel := context.WithTimeout(ctx, loadsTimeout)
-	defer cancel()
-	_, _ = m.client(address).Tell(ctx, r)
-}
-
 // Run tells others until ctx ends.
 func (m *Mesh) Run(ctx context.Context) error {
 	interval := MeshInterval
@@ -209,17 +162,6 @@
 	return r
 }
 
-func (m *Mesh) loadStates() []*wire.LoadState {
-	if m.OwnLoads == nil {
-		return nil
-	}
-	var out []*wire.LoadState
-	for id, l := range m.OwnLoads() {
-		out = append(out, &wire.LoadState{Endpoint: id, Running: int32(l.Running), PromptTokens: l.PromptTokens})
-	}
-	return out
-}
-
 // tell tells one process. Where the digests differ each side tells the other all
 // that it knows.
 func (m *Mesh) tell(ctx context.Context, address string, r *wire.TellRequest) {
@@ -278,38 +220,6 @@
 	return reply, nil
 }
 
-func (m *Mesh) takeLoads(r *wire.TellRequest, now time.Time) {
-	if m.OwnLoads == nil {
-		return
-	}
-	l := routerLoads{at: now, endpoints: map[string]route.Load{}}
-	for _, e := range r.GetLoads() {
-		l.endpoints[e.GetEndpoint()] = route.Load{Running: int(e.GetRunning()), PromptTokens: e.GetPromptTokens()}
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.loads == nil {
-		m.loads = map[string]routerLoads{}
-	}
-	m.loads[r.GetVm()] = l
-}
-
-// Others returns what the other routers have under way at an endpoint.
-func (m *Mesh) Others(endpoint string) route.Load {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var out route.Load
-	for address, l := range m.loads {
-		if time.Since(l.at) > loadsLast {
-			delete(m.loads, address)
-			continue
-		}
-		out.Running += l.endpoints[endpoint].Running
-		out.PromptTokens += l.endpoints[endpoint].PromptTokens
-	}
-	return out
-}
-
 // Transfer implements wire.MeshHandler.
 func (m *Mesh) Transfer(_ context.Context, r *wire.TransferRequest) (*wire.TransferReply, error) {
 	if m.Budgets == nil {
