--- a/ledger/share.go
+++ b/ledger/share.go
@@ -21,6 +21,9 @@
 	outDivisor = 2
 	// idleDivisor is the part of a budget without demand that is handed out.
 	idleDivisor = 4
+	// fewRequests is how many of the largest requests all routers together hold at
+	// least: one may come at each of a few zones in a cut.
+	fewRequests = 4
 	// ownSpanMS is the time for which a router holds its own demand: a few reports
 	// to control, and what borrowing from another router takes.
 	ownSpanMS = 1_500
@@ -121,8 +124,9 @@
 // of what no router has spent: what isn't handed out can't be lost with a router.
 // Each holds what its own demand takes for a moment, and an even part of the
 // rest, whose owner borrows it in a cut: so a lost router takes little with it
-// even if one organisation calls only there. As long as there is enough, one
-// request of the largest size seen is covered, however low the demand.
+// even if one organisation calls only there. As long as there is enough, a few
+// requests of the largest size seen are covered by all together, however low the
+// demand.
 func (a *allowance) target(s *wire.ShareState, largest, horizonMS, nowMS int64) int64 {
 	pool, rates, n := max(a.total-a.out, 0), int64(0), int64(0)
 	for _, o := range a.shares {
@@ -140,8 +144,8 @@
 	common := float64(rates) * float64(horizonMS-span) / 1000 / float64(n)
 	all := float64(rates) * float64(horizonMS) / 1000
 	scale := min(1, float64(pool)/outDivisor/all)
-	even := float64(pool) / float64(n*idleDivisor)
-	return int64(max(scale*(own+common), min(even, float64(largest))))
+	few := min(float64(pool)/idleDivisor, fewRequests*float64(largest)) / float64(n)
+	return int64(max(scale*(own+common), few))
 }
 
 // grant returns how many tokens a router gets now: what lacks to its target, and
