--- a/relay/flight.go
+++ b/relay/flight.go
@@ -154,18 +154,28 @@
 	}
 }
 
-// choose picks an endpoint that hasn't been tried.
+// choose picks an endpoint that hasn't been tried. One that control hasn't heard
+// for long is the last resort: it may be cut off from control alone.
 func (f *flight) choose() (route.Choice, bool) {
 	r := f.router
 	all := r.Directory.Serving(buckthornpin.Target{Service: f.service.Name})
-	candidates := make([]route.Engine, 0, len(all))
+	living := make([]route.Engine, 0, len(all))
+	var silent []route.Engine
 	for _, e := range all {
-		if e.Leaving || e.Dead || f.tried[e.ID] {
+		if e.Leaving || f.tried[e.ID] {
 			continue
 		}
-		candidates = append(candidates, route.Engine{Endpoint: e, Others: r.Loads.Others(e.ID)})
+		c := route.Engine{Endpoint: e, Others: r.Loads.Others(e.ID)}
+		if e.Dead {
+			silent = append(silent, c)
+			continue
+		}
+		living = append(living, c)
+	}
+	if len(living) == 0 {
+		living = silent
 	}
-	return r.tracker.Choose(candidates, f.work(), r.Zone, time.Now())
+	return r.tracker.Choose(living, f.work(), r.Zone, time.Now())
 }
 
 // work describes the request to the choice of an endpoint.
--- a/relay/flight_test.go
+++ b/relay/flight_test.go
@@ -209,6 +209,17 @@
 	})
 }
 
+// TestSilentEndpointsAreTheLastResort: control may have lost all endpoints that
+// routers still reach.
+func TestSilentEndpointsAreTheLastResort(t *testing.T) {
+	before := endpoints
+	t.Cleanup(func() { endpoints = before })
+	endpoints = []*buckthornpin.Endpoint{{ID: "dead", Dead: true, Capacity: 8}, {ID: "living", Capacity: 8}, {ID: "leaving", Leaving: true, Capacity: 8}}
+	_, s, _ := serve(t, "/safe/x", step{answer: notRun()}, step{answer: plain(200, "ok")})
+	require.Equal(t, "living", s.sent[0].Endpoint.ID)
+	require.Equal(t, "dead", s.sent[1].Endpoint.ID)
+}
+
 // TestStream covers streams that break.
 func TestStream(t *testing.T) {
 	t.Run("whole", func(t *testing.T) {
