--- a/budget/borrow.go
+++ b/budget/borrow.go
@@ -20,7 +20,7 @@
 			return relay.Covered
 		}
 		changed, leads := s.changed, !s.acquiring
-		if leads && tried {
+		if leads && (tried || time.Since(s.failedAt) < acquirePause) {
 			verdict := w.verdict(s, tokens)
 			w.mu.Unlock()
 			return verdict
@@ -55,6 +55,9 @@
 	defer func() {
 		w.mu.Lock()
 		s.acquiring = false
+		if s.waiting > s.balance() {
+			s.failedAt = time.Now()
+		}
 		s.wake()
 		w.mu.Unlock()
 	}()
@@ -93,7 +96,7 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b string) int { return int(s.peers[b].tokens - s.peers[a].tokens) })
-	return out
+	return out[:min(len(out), maxLenders)]
 }
 
 // borrow asks another router for tokens.
--- a/budget/share.go
+++ b/budget/share.go
@@ -39,6 +39,8 @@
 	changed chan struct{}
 	// dirty says that control hasn't heard of the newest counts.
 	dirty bool
+	// failedAt is when tokens were last looked for in vain.
+	failedAt time.Time
 	// acquiring says that somebody looks for tokens already.
 	acquiring bool
 }
--- a/budget/wallet.go
+++ b/budget/wallet.go
@@ -28,6 +28,11 @@
 	// idleReports is the number of intervals after which an unchanged share is
 	// reported too, so that control keeps counting it in.
 	idleReports = 5
+	// maxLenders bounds the routers that are asked for one request.
+	maxLenders = 8
+	// acquirePause is the time after a vain look for tokens in which further
+	// requests are refused at once: balances are told anew about as often.
+	acquirePause = 200 * time.Millisecond
 	// transferTimeout bounds a call to another router.
 	transferTimeout = 250 * time.Millisecond
 	// surplusDivisor is the part of its target that a router may hold beyond it
--- a/ledger/share.go
+++ b/ledger/share.go
@@ -15,6 +15,9 @@
 	// grantDivisor bounds one grant to this part of what is free, so that routers
 	// which report later find something left.
 	grantDivisor = 4
+	// leastRouters is the number of routers that a budget without demand is divided
+	// by at least: the first ones to report after a start don't know of the others.
+	leastRouters = 16
 	// outDivisor is the part of what no router has spent that is handed out. Where a
 	// budget nears its end, tokens that stay at control are only spent later, while
 	// those that a lost router held are spent never.
@@ -137,7 +140,7 @@
 		}
 	}
 	if rates == 0 {
-		return pool / (n * idleDivisor)
+		return pool / (max(n, leastRouters) * idleDivisor)
 	}
 	span := min(ownSpanMS, horizonMS)
 	own := float64(s.GetRate()) * float64(span) / 1000
