--- a/peer/directory.go
+++ b/peer/directory.go
@@ -1,5 +1,5 @@
-// Package peer is what routers tell each other: the endpoints they know, and the
-// keys they work on. An endpoint announces itself to a few routers, which watch
+// Package peer is what processes tell each other: who lives, the endpoints they
+// know, what routers have under way and the keys they work on. An endpoint announces itself to a few routers, which watch
 // it; the others hear of changes only, so that a heartbeat costs nothing beyond
 // those few.
 package peer
