One type for the parts of a prompt; read ids of events without splitting

relay.Part and route.Part were the same; the work of a request was copied part by part for each choice and each start; each event was split into lines for its id.

--- a/relay/flight.go
+++ b/relay/flight.go
@@ -180,11 +180,8 @@
 
 // work describes the request to the choice of an endpoint.
 func (f *flight) work() route.Work {
-	w := route.Work{Tokens: f.request.Prompt.Tokens, Model: f.service.Engine != nil}
-	for _, p := range f.request.Prompt.Parts {
-		w.Parts = append(w.Parts, route.Part{ID: p.ID, Tokens: p.Tokens})
-	}
-	return w
+	p := f.request.Prompt
+	return route.Work{Model: f.service.Engine != nil, Tokens: p.Tokens, Parts: p.Parts}
 }
 
 func (f *flight) noEndpoint() {
--- a/relay/flight_test.go
+++ b/relay/flight_test.go
@@ -254,3 +254,18 @@
 		require.Equal(t, events("12"), reply.body.String())
 	})
 }
+
+// TestLastID finds the newest id wherever its line stands in an event.
+func TestLastID(t *testing.T) {
+	cases := map[string]string{
+		"id: 1\ndata: x\n\n":                             "1",
+		"id:1\ndata: x\n\ndata: y\nid: 2\n\n":            "2",
+		"event: e\nid: 7\ndata: id: 9\n\ndata: none\n\n": "7",
+		"data: none\n\n":                                 "",
+	}
+	for events, want := range cases {
+		id, ok := lastID([]byte(events))
+		require.Equal(t, want != "", ok)
+		require.Equal(t, want, id)
+	}
+}
--- a/relay/request.go
+++ b/relay/request.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"buckthornpin"
+	"buckthornpin/route"
 )
 
 // Request is one attempt of a caller.
@@ -39,13 +40,7 @@
 	Tokens, MaxOutput int64
 	// Parts are the prompt's parts in order; other requests share all but the
 	// last one.
-	Parts []Part
-}
-
-// Part is a part of a prompt.
-type Part struct {
-	ID     string
-	Tokens int64
+	Parts []route.Part
 }
 
 // Dispatch is a request on its way to one endpoint.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -115,14 +115,9 @@
 // passEvents passes whole events on.
 func (f *flight) passEvents(a *Answer, events []byte) error {
 	f.beginOnce(a)
-	for _, event := range bytes.SplitAfter(events, eventEnd) {
-		if len(event) == 0 {
-			continue
-		}
-		f.events.delivered++
-		if id, ok := eventID(event); ok {
-			f.events.lastID = id
-		}
+	f.events.delivered += int64(bytes.Count(events, eventEnd))
+	if id, ok := lastID(events); ok {
+		f.events.lastID = id
 	}
 	if err := f.reply.Write(events); err != nil {
 		return errors.Join(errCaller, err)
@@ -130,12 +125,19 @@
 	return nil
 }
 
-// eventID returns the id line of an event.
-func eventID(event []byte) (string, bool) {
-	for _, line := range bytes.Split(event, []byte("\n")) {
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(value)), true
+// idField begins the line of an event that holds its id.
+var idField = []byte("\nid:")
+
+// lastID returns the newest id among events.
+func lastID(events []byte) (string, bool) {
+	at := bytes.LastIndex(events, idField)
+	start := at + len(idField)
+	if at < 0 {
+		if !bytes.HasPrefix(events, idField[1:]) {
+			return "", false
 		}
+		start = len(idField) - 1
 	}
-	return "", false
+	line, _, _ := bytes.Cut(events[start:], []byte("\n"))
+	return string(bytes.TrimSpace(line)), true
 }
