Take needless work off the choice of an endpoint, and forget endpoints that are gone

For each endpoint that a request could go to, the loads of all routers were summed up anew (86 routers times 145 endpoints in the grown deployment) and its rank was computed twice. The sums are kept as they come, ranks computed once. What a router remembers of endpoints was never dropped.

--- a/peer/loads.go
+++ b/peer/loads.go
@@ -78,23 +78,43 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.loads == nil {
-		m.loads = map[string]routerLoads{}
+		m.loads, m.others = map[string]routerLoads{}, map[string]route.Load{}
 	}
+	m.addOthers(m.loads[r.GetVm()], -1)
 	m.loads[r.GetVm()] = l
+	m.addOthers(l, 1)
 }
 
-// Others returns what the other routers have under way at an endpoint.
-func (m *Mesh) Others(endpoint string) route.Load {
+// addOthers adds a router's loads to the sums, or takes them off. The caller holds
+// mu.
+func (m *Mesh) addOthers(l routerLoads, sign int) {
+	for id, e := range l.endpoints {
+		sum := m.others[id]
+		sum.Running += sign * e.Running
+		sum.PromptTokens += int64(sign) * e.PromptTokens
+		m.others[id] = sum
+		if sum == (route.Load{}) {
+			delete(m.others, id)
+		}
+	}
+}
+
+// forgetLoads drops what routers have told too long ago.
+func (m *Mesh) forgetLoads(now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var out route.Load
 	for address, l := range m.loads {
-		if time.Since(l.at) > loadsLast {
+		if now.Sub(l.at) > loadsLast {
+			m.addOthers(l, -1)
 			delete(m.loads, address)
-			continue
 		}
-		out.Running += l.endpoints[endpoint].Running
-		out.PromptTokens += l.endpoints[endpoint].PromptTokens
 	}
-	return out
+}
+
+// Others returns what the other routers have under way at an endpoint. It is
+// called for each endpoint that a request could go to.
+func (m *Mesh) Others(endpoint string) route.Load {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.others[endpoint]
 }
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -70,7 +70,9 @@
 	mu      sync.Mutex
 	clients map[string]wire.MeshClient
 	loads   map[string]routerLoads
-	rounds  int
+	// others sums up loads by endpoint.
+	others map[string]route.Load
+	rounds int
 }
 
 // Run tells others until ctx ends.
@@ -95,6 +97,7 @@
 	now := time.Now()
 	m.Nodes.Round(now)
 	m.Directory.Sweep(now)
+	m.forgetLoads(now)
 	m.rounds++
 	targets := m.targets(now)
 	request := m.request(m.Directory.News())
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -12,6 +12,8 @@
 
 	"buckthornpin"
 	"buckthornpin/event"
+	"buckthornpin/route"
+	"buckthornpin/wire"
 )
 
 // meshNode is a process of a mesh that is served on loopback.
@@ -59,3 +61,21 @@
 	require.Len(t, router.Directory.Serving(buckthornpin.Target{Service: "s"}), 1)
 	require.Len(t, router.Nodes.Controls(), 2)
 }
+
+// TestOthersSumsUpLoads: a router's newest word replaces its earlier one, and what
+// was told too long ago doesn't count.
+func TestOthersSumsUpLoads(t *testing.T) {
+	m := &Mesh{OwnLoads: func() map[string]route.Load { return nil }}
+	now := time.Unix(1_000, 0)
+	tell := func(vm string, running int32, tokens int64, at time.Time) {
+		m.takeLoads(&wire.TellRequest{Vm: vm, Loads: []*wire.LoadState{{Endpoint: "e", Running: running, PromptTokens: tokens}}}, at)
+	}
+	tell("a", 1, 100, now)
+	tell("b", 2, 50, now)
+	tell("a", 3, 10, now.Add(loadsLast))
+	require.Equal(t, route.Load{Running: 5, PromptTokens: 60}, m.Others("e"))
+	m.forgetLoads(now.Add(loadsLast + time.Millisecond))
+	require.Equal(t, route.Load{Running: 3, PromptTokens: 10}, m.Others("e"))
+	m.takeLoads(&wire.TellRequest{Vm: "a"}, now)
+	require.Empty(t, m.others)
+}
--- a/route/tracker.go
+++ b/route/tracker.go
@@ -49,11 +49,17 @@
 	plainTokens = 1000
 	// otherZoneTokens is what a move to another zone has to save.
 	otherZoneTokens = 100
+	// lastResort puts an endpoint that failed lately behind all others: it is more
+	// than any prompt's tokens.
+	lastResort = 1 << 40
 	// failurePause is how long an endpoint is avoided after its first failure;
 	// it doubles with each further one in a row.
 	failurePause = 250 * time.Millisecond
 	// longestPause bounds the pause.
 	longestPause = 4 * time.Second
+	// forgetAfter is the time without a request after which an endpoint is
+	// forgotten.
+	forgetAfter = time.Minute
 	// rememberParts bounds the parts that are remembered of one endpoint.
 	rememberParts = 512
 )
@@ -63,6 +69,7 @@
 type Tracker struct {
 	mu      sync.Mutex
 	engines map[string]*engineState
+	sweptAt time.Time
 }
 
 type engineState struct {
@@ -70,6 +77,7 @@
 	failures int
 	until    time.Time
 	parts    map[string]time.Time
+	usedAt   time.Time
 }
 
 // Run is a request under way at an endpoint.
@@ -106,8 +114,10 @@
 func (t *Tracker) Start(c Choice, w Work, now time.Time) *Run {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.forgetIdle(now)
 	id := c.Endpoint.ID
 	s := t.state(id)
+	s.usedAt = now
 	r := &Run{tracker: t, endpoint: id, tokens: c.Missing, Missing: c.Missing, Before: s.load}
 	s.load.Running++
 	s.load.PromptTokens += r.tokens
@@ -118,6 +128,20 @@
 	return r
 }
 
+// forgetIdle drops endpoints without a request for long: most of them are gone, and
+// others have read much else since. The caller holds mu.
+func (t *Tracker) forgetIdle(now time.Time) {
+	if now.Sub(t.sweptAt) < forgetAfter {
+		return
+	}
+	t.sweptAt = now
+	for id, s := range t.engines {
+		if s.load.Running == 0 && now.Sub(s.usedAt) > forgetAfter {
+			delete(t.engines, id)
+		}
+	}
+}
+
 // forgetOldest keeps the number of remembered parts bounded.
 func (s *engineState) forgetOldest() {
 	for len(s.parts) > rememberParts {
@@ -207,20 +231,20 @@
 	defer t.mu.Unlock()
 	var bestCost int64
 	var bestRank uint64
-	home := homeOf(all, w)
-	for _, e := range all {
+	ranks := ranksOf(all, w)
+	home := homeOf(ranks, w)
+	for i, e := range all {
 		s := t.state(e.Endpoint.ID)
-		missing := s.expected(w, e.Endpoint.ID == home)
+		missing := s.expected(w, i == home)
 		cost := s.cost(e, w, missing)
 		if e.Endpoint.Zone != zone {
 			cost += otherZoneTokens
 		}
 		if now.Before(s.until) {
-			cost += 1 << 40
+			cost += lastResort
 		}
-		rank := rankOf(e.Endpoint.ID, w)
-		if !ok || cost < bestCost || cost == bestCost && rank > bestRank {
-			best, bestCost, bestRank, ok = Choice{Endpoint: e.Endpoint, Missing: missing}, cost, rank, true
+		if !ok || cost < bestCost || cost == bestCost && ranks[i] > bestRank {
+			best, bestCost, bestRank, ok = Choice{Endpoint: e.Endpoint, Missing: missing}, cost, ranks[i], true
 		}
 	}
 	return best, ok
@@ -257,26 +281,31 @@
 	return w.Parts[len(w.Parts)-1].Tokens
 }
 
-// homeOf returns the endpoint that all routers prefer for the deepest shared
-// part of a prompt: the one of highest rank (rendezvous hashing).
-func homeOf(all []Engine, w Work) string {
+// homeOf returns the index of the endpoint that all routers prefer for the deepest
+// shared part of a prompt, the one of highest rank (rendezvous hashing); -1 where
+// the prompt shares nothing.
+func homeOf(ranks []uint64, w Work) int {
 	if len(w.Parts) < 2 {
-		return ""
+		return -1
 	}
-	home, rank := "", uint64(0)
-	for _, e := range all {
-		if r := rankOf(e.Endpoint.ID, w); home == "" || r > rank {
-			home, rank = e.Endpoint.ID, r
+	home := -1
+	for i, r := range ranks {
+		if home < 0 || r > ranks[home] {
+			home = i
 		}
 	}
 	return home
 }
 
-// rankOf orders endpoints for the deepest shared part of a prompt.
-func rankOf(id string, w Work) uint64 {
+// ranksOf orders endpoints for the deepest shared part of a prompt.
+func ranksOf(all []Engine, w Work) []uint64 {
 	subject := ""
 	if n := len(w.Parts); n > 1 {
 		subject = w.Parts[n-2].ID
 	}
-	return xxhash.Sum64String(subject + "/" + id)
+	out := make([]uint64, len(all))
+	for i, e := range all {
+		out[i] = xxhash.Sum64String(subject + "/" + e.Endpoint.ID)
+	}
+	return out
 }
--- /dev/null
+++ b/route/tracker_test.go
@@ -0,0 +1,70 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"buckthornpin"
+)
+
+func engines(n int) []Engine {
+	var out []Engine
+	for i := range n {
+		out = append(out, Engine{Endpoint: &buckthornpin.Endpoint{ID: fmt.Sprintf("e%d", i), Zone: "z", Capacity: 8}})
+	}
+	return out
+}
+
+// TestSharedPartsStayAtTheirHome: routers that know nothing of each other send the
+// prompts of one subject to one endpoint, until it has much more under way.
+func TestSharedPartsStayAtTheirHome(t *testing.T) {
+	now := time.Unix(1_000, 0)
+	w := Work{Model: true, Tokens: 15_000, Parts: []Part{{ID: "file", Tokens: 13_000}, {ID: "own", Tokens: 2_000}}}
+	var one, other Tracker
+	a, ok := one.Choose(engines(12), w, "z", now)
+	require.True(t, ok)
+	b, _ := other.Choose(engines(12), w, "z", now)
+	require.Equal(t, a.Endpoint.ID, b.Endpoint.ID)
+	require.Equal(t, int64(2_000), a.Missing)
+
+	busy := engines(12)
+	for i := range busy {
+		if busy[i].Endpoint.ID == a.Endpoint.ID {
+			busy[i].Others = Load{Running: 1, PromptTokens: 40_000}
+		}
+	}
+	c, _ := one.Choose(busy, w, "z", now)
+	require.NotEqual(t, a.Endpoint.ID, c.Endpoint.ID)
+}
+
+// TestFailedEndpointIsTheLastResort for a while.
+func TestFailedEndpointIsTheLastResort(t *testing.T) {
+	now := time.Unix(1_000, 0)
+	var tracker Tracker
+	all := engines(2)
+	first, _ := tracker.Choose(all, Work{}, "z", now)
+	tracker.Failed(first.Endpoint.ID, now)
+	second, _ := tracker.Choose(all, Work{}, "z", now)
+	require.NotEqual(t, first.Endpoint.ID, second.Endpoint.ID)
+	again, _ := tracker.Choose(all, Work{}, "z", now.Add(longestPause))
+	require.Equal(t, first.Endpoint.ID, again.Endpoint.ID)
+}
+
+// TestIdleEndpointsAreForgotten: endpoints come and go for as long as a router
+// lives; one with a request under way is kept.
+func TestIdleEndpointsAreForgotten(t *testing.T) {
+	now := time.Unix(1_000, 0)
+	var tracker Tracker
+	busy := tracker.Start(Choice{Endpoint: &buckthornpin.Endpoint{ID: "busy"}}, Work{}, now)
+	for i := range 1_000 {
+		now = now.Add(time.Second)
+		tracker.Start(Choice{Endpoint: &buckthornpin.Endpoint{ID: fmt.Sprint(i)}}, Work{}, now).End()
+	}
+	require.LessOrEqual(t, len(tracker.engines), 2*int(forgetAfter.Seconds())+2)
+	require.Contains(t, tracker.Loads(), "busy")
+	busy.End()
+	require.Empty(t, tracker.Loads())
+}
