Use one ticker loop, one set of clients by address and one way to run parts

The loops of budget/purse.go and peer/gossip.go, left over from before, stood again in the mesh and the fleet; the map of clients stood three times, the run and wait of a process's parts twice.

--- a/app/fleet_run.go
+++ b/app/fleet_run.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/go-faster/errors"
+	"buckthornpin"
 )
 
 // Run serves until ctx ends, then stops gracefully.
@@ -15,25 +15,8 @@
 	if err != nil {
 		return err
 	}
-	ended := make(chan partEnd, len(parts))
-	for _, part := range parts {
-		go func() { ended <- partEnd{name: part.name, err: part.run(inner)} }()
-	}
 	f.Log.Info().Str("build", f.Build.Version).Dur("took_ms", time.Since(f.started)).Strs("seeds", *f.seeds.Load()).Msg("started")
-	left := len(parts)
-	select {
-	case e := <-ended:
-		left--
-		err = errors.Wrapf(e.err, "part %s ended", e.name)
-	case <-ctx.Done():
-		f.drain(inner)
-	}
-	stop()
-	for ; left > 0; left-- {
-		if e := <-ended; e.err != nil && err == nil {
-			err = errors.Wrap(e.err, e.name)
-		}
-	}
+	err = runParts(ctx, inner, parts, func() { f.drain(inner) }, stop)
 	f.Log.Info().Err(err).Msg("stopped")
 	return err
 }
@@ -76,16 +59,8 @@
 const sweepInterval = time.Second
 
 func (f *Fleet) sweep(ctx context.Context) error {
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			f.pool.Sweep(now)
-		}
-	}
+	buckthornpin.Every(ctx, sweepInterval, func(_ context.Context, now time.Time) { f.pool.Sweep(now) })
+	return nil
 }
 
 // reload takes seeds from settings that have changed.
--- a/app/run.go
+++ b/app/run.go
@@ -20,17 +20,6 @@
 	"buckthornpin/health"
 )
 
-// part is a goroutine of the process; it reports its end on a channel.
-type part struct {
-	name string
-	run  func(ctx context.Context) error
-}
-
-type partEnd struct {
-	name string
-	err  error
-}
-
 // Run serves until ctx ends, then stops gracefully: readiness off, no new work,
 // each request in progress to its end. A second signal changes nothing.
 func (p *Process) Run(ctx context.Context) error {
@@ -40,35 +29,12 @@
 	if err != nil {
 		return err
 	}
-	ended := make(chan partEnd, len(parts))
-	for _, part := range parts {
-		go func() { ended <- partEnd{name: part.name, err: part.run(inner)} }()
-	}
 	p.record(buckthornpin.EventStarted, p.Build.Version)
 	p.Log.Info().Str("build", p.Build.Version).Msg("started")
-	left, err := len(parts), error(nil)
-	for err == nil {
-		select {
-		case e := <-ended:
-			left--
-			if e.err != nil {
-				err = errors.Wrap(e.err, e.name)
-			}
-			continue
-		case <-ctx.Done():
-		}
-		break
-	}
-	if err == nil {
-		p.drain(inner)
-	}
-	p.record(buckthornpin.EventStopping, "")
-	stop()
-	for ; left > 0; left-- {
-		if e := <-ended; e.err != nil && err == nil {
-			err = errors.Wrap(e.err, e.name)
-		}
-	}
+	err = runParts(ctx, inner, parts, func() { p.drain(inner) }, func() {
+		p.record(buckthornpin.EventStopping, "")
+		stop()
+	})
 	p.Log.Info().Err(err).Msg("stopped")
 	return err
 }
--- a/budget/purse.go
+++ b/budget/purse.go
@@ -177,18 +177,12 @@
 // Run keeps the leases at the size that the policy wants, and reports what was
 // spent, until ctx ends.
 func (p *Purse) Run(ctx context.Context) error {
-	ticker := time.NewTicker(tick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			p.report(ctx)
-			p.sendLater(ctx)
-			p.changeAll(ctx, p.plan(time.Now()))
-		}
-	}
+	buckthornpin.Every(ctx, tick, func(ctx context.Context, now time.Time) {
+		p.report(ctx)
+		p.sendLater(ctx)
+		p.changeAll(ctx, p.plan(now))
+	})
+	return nil
 }
 
 // Close gives all leases back at a graceful stop.
--- a/ctrl/client.go
+++ b/ctrl/client.go
@@ -11,6 +11,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/go-faster/errors"
 
+	"buckthornpin/conn"
 	"buckthornpin/wire"
 )
 
@@ -34,7 +35,7 @@
 	Options []connect.ClientOption
 
 	mu      sync.Mutex
-	clients map[string]wire.ControlClient
+	clients conn.Clients[wire.ControlClient]
 	leader  string
 	turn    int
 }
@@ -161,15 +162,7 @@
 }
 
 func (c *Client) client(address string) wire.ControlClient {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.clients == nil {
-		c.clients = map[string]wire.ControlClient{}
-	}
-	cc, ok := c.clients[address]
-	if !ok {
-		cc = wire.NewControlClient(c.HTTP, c.Scheme+"://"+address, c.Options...)
-		c.clients[address] = cc
-	}
-	return cc
+	return c.clients.Of(address, func() wire.ControlClient {
+		return wire.NewControlClient(c.HTTP, c.Scheme+"://"+address, c.Options...)
+	})
 }
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 
 	"buckthornpin"
+	"buckthornpin/conn"
 	"buckthornpin/stream"
 	"buckthornpin/wire"
 )
@@ -46,29 +47,20 @@
 	// PeerOf returns the address of a router by its VM, or "".
 	PeerOf func(vm string) string
 
-	mu      sync.Mutex
-	clients map[string]wire.PeersClient
+	clients conn.Clients[wire.PeersClient]
 	rounds  int
 }
 
 // Run exchanges with others until ctx ends.
 func (g *Gossip) Run(ctx context.Context) error {
-	ticker := time.NewTicker(Interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			g.round(ctx)
-		}
-	}
+	buckthornpin.Every(ctx, Interval, g.round)
+	return nil
 }
 
 // round tells a few others at once what is new; a silent one delays nobody else.
 // Without news only every few rounds compare digests, with one other.
-func (g *Gossip) round(ctx context.Context) {
-	g.Directory.Sweep(time.Now())
+func (g *Gossip) round(ctx context.Context, now time.Time) {
+	g.Directory.Sweep(now)
 	g.rounds++
 	compare := g.rounds%compareRounds == 1
 	peers := slices.Clone(g.Peers())
@@ -139,15 +131,7 @@
 }
 
 func (g *Gossip) client(address string) wire.PeersClient {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.clients == nil {
-		g.clients = map[string]wire.PeersClient{}
-	}
-	c, ok := g.clients[address]
-	if !ok {
-		c = wire.NewPeersClient(g.HTTP, g.Scheme+"://"+address, g.Options...)
-		g.clients[address] = c
-	}
-	return c
+	return g.clients.Of(address, func() wire.PeersClient {
+		return wire.NewPeersClient(g.HTTP, g.Scheme+"://"+address, g.Options...)
+	})
 }
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -10,6 +10,8 @@
 	"connectrpc.com/connect"
 	"github.com/rs/zerolog"
 
+	"buckthornpin"
+	"buckthornpin/conn"
 	"buckthornpin/route"
 	"buckthornpin/wire"
 )
@@ -68,7 +70,7 @@
 	// changed tells that a load has changed that others should know at once.
 	changed chan struct{}
 	mu      sync.Mutex
-	clients map[string]wire.MeshClient
+	clients conn.Clients[wire.MeshClient]
 	loads   map[string]routerLoads
 	// others sums up loads by endpoint.
 	others map[string]route.Load
@@ -81,20 +83,12 @@
 	if m.Nodes.Self.Control {
 		interval *= slowRounds
 	}
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		m.round(ctx)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-	}
+	m.round(ctx, time.Now())
+	buckthornpin.Every(ctx, interval, m.round)
+	return nil
 }
 
-func (m *Mesh) round(ctx context.Context) {
-	now := time.Now()
+func (m *Mesh) round(ctx context.Context, now time.Time) {
 	m.Nodes.Round(now)
 	m.Directory.Sweep(now)
 	m.forgetLoads(now)
@@ -262,15 +256,7 @@
 }
 
 func (m *Mesh) client(address string) wire.MeshClient {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.clients == nil {
-		m.clients = map[string]wire.MeshClient{}
-	}
-	c, ok := m.clients[address]
-	if !ok {
-		c = wire.NewMeshClient(m.HTTP, m.Scheme+"://"+address, m.Options...)
-		m.clients[address] = c
-	}
-	return c
+	return m.clients.Of(address, func() wire.MeshClient {
+		return wire.NewMeshClient(m.HTTP, m.Scheme+"://"+address, m.Options...)
+	})
 }
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -53,9 +53,9 @@
 
 	other.Directory.Put(buckthornpin.Endpoint{ID: "engine", Address: "10.0.0.1:80", Services: []string{"s"}, Sequence: 1})
 	for range 4 {
-		other.round(ctx)
-		router.round(ctx)
-		seed.round(ctx)
+		other.round(ctx, time.Now())
+		router.round(ctx, time.Now())
+		seed.round(ctx, time.Now())
 	}
 
 	require.Len(t, router.Directory.Serving(buckthornpin.Target{Service: "s"}), 1)
