Never write another answer into a stream that should go on elsewhere

Cause: found by reading. A stream that broke off and was sent on behind its last event took whatever came back: a signed failure without events was written into the caller's stream as if it were events, and a run that began from the start repeated events. Ruled out: unsigned answers (refused before), broken second runs (tested). Mend: behind a begun stream only a stream passes, and its first id has to be higher than the last one passed. Two tests that failed first.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -121,6 +121,10 @@
 	if isStream(a) {
 		return f.stream(ctx, e, a, begun)
 	}
+	if f.begun() {
+		f.breakOff("not_resumed", e, errors.Errorf("endpoint answered %d where a stream should go on", a.Status))
+		return true
+	}
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxPlainBytes))
 	if err != nil {
 		f.router.tracker.Failed(e.ID, time.Now())
--- a/relay/flight_test.go
+++ b/relay/flight_test.go
@@ -248,6 +248,17 @@
 		require.Equal(t, ReasonBroken, reply.refusal.Reason)
 		require.Zero(t, funds.spent)
 	})
+	t.Run("failure where it went on", func(t *testing.T) {
+		reply, _, funds := serve(t, "/resume/x", step{answer: brokenStream(events("12"))}, step{answer: plain(500, "sorry")})
+		require.True(t, reply.broken)
+		require.Equal(t, events("12"), reply.body.String(), "no other answer is written into a stream")
+		require.Equal(t, int64(100+2*6), funds.spent)
+	})
+	t.Run("starts over where it should go on", func(t *testing.T) {
+		reply, _, _ := serve(t, "/resume/x", step{answer: brokenStream(events("12"))}, step{answer: stream(events("1234"))})
+		require.True(t, reply.broken)
+		require.Equal(t, events("12"), reply.body.String(), "no event comes twice")
+	})
 	t.Run("second endpoint fails too", func(t *testing.T) {
 		reply, _, _ := serve(t, "/resume/x", step{answer: brokenStream(events("1"))}, step{answer: brokenStream(events("2"))})
 		require.True(t, reply.broken)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"strconv"
 	"strings"
 	"time"
 
@@ -76,15 +77,20 @@
 func (f *flight) pass(a *Answer, begun func()) error {
 	buf := make([]byte, 0, bodyBuffer)
 	part := make([]byte, bodyBuffer)
+	after := f.events.lastID
 	for {
 		n, err := a.Body.Read(part)
 		buf = append(buf, part[:n]...)
 		end := bytes.LastIndex(buf, eventEnd) + len(eventEnd)
 		if end >= len(eventEnd) {
+			if !follows(buf[:end], after) {
+				return errRepeated
+			}
 			begun()
 			if err := f.passEvents(a, buf[:end]); err != nil {
 				return err
 			}
+			after = ""
 			buf = append(buf[:0], buf[end:]...)
 		}
 		switch {
@@ -125,19 +131,50 @@
 	return nil
 }
 
+// errRepeated is a run that begins with events that the caller has already.
+var errRepeated = errors.New("resumed stream doesn't go on behind the last event")
+
+// follows reports whether events go on behind the one with an id; "" is the start
+// of a stream. Ids rise; those that aren't numbers only have to differ.
+func follows(events []byte, after string) bool {
+	first, ok := firstID(events)
+	if after == "" || !ok {
+		return true
+	}
+	a, err := strconv.ParseInt(after, 10, 64)
+	b, err2 := strconv.ParseInt(first, 10, 64)
+	if err != nil || err2 != nil {
+		return first != after
+	}
+	return b > a
+}
+
 // idField begins the line of an event that holds its id.
 var idField = []byte("\nid:")
 
+// firstID returns the oldest id among events.
+func firstID(events []byte) (string, bool) {
+	if bytes.HasPrefix(events, idField[1:]) {
+		return idAt(events, len(idField)-1), true
+	}
+	at := bytes.Index(events, idField)
+	if at < 0 {
+		return "", false
+	}
+	return idAt(events, at+len(idField)), true
+}
+
 // lastID returns the newest id among events.
 func lastID(events []byte) (string, bool) {
 	at := bytes.LastIndex(events, idField)
-	start := at + len(idField)
 	if at < 0 {
-		if !bytes.HasPrefix(events, idField[1:]) {
-			return "", false
-		}
-		start = len(idField) - 1
+		return firstID(events)
 	}
+	return idAt(events, at+len(idField)), true
+}
+
+// idAt returns the id whose line goes on at start.
+func idAt(events []byte, start int) string {
 	line, _, _ := bytes.Cut(events[start:], []byte("\n"))
-	return string(bytes.TrimSpace(line)), true
+	return string(bytes.TrimSpace(line))
 }
