Put, show and check a site's routes through our own interface

- site.Decode and Encode: our own form, strict JSON with times as text; all problems of a document are named at once.
- PUT and GET /admin/v1/site on control VMs that name operators' keys; the highest version wins as on the platform.
A document that was put in one form reads in the other: the log keeps which form it has.
- buckthornpin site put, show, check; examples/site/kingston.json.
Duration moves to the root package, since settings and sites share it.
Tests: round trips of both forms, each refusal, the interface against a held site.

--- a/app/fleet_control.go
+++ b/app/fleet_control.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"buckthornpin"
+	platf "buckthornpin/platform"
 	"buckthornpin/site"
 	"buckthornpin/wire"
 )
@@ -21,20 +22,21 @@
 
 // PutSite implements platf.Control.
 func (c *fleetControl) PutSite(ctx context.Context, s site.Configuration, document []byte) error {
-	put := &wire.PutSite{Version: s.Version, Document: document}
-	for _, o := range s.Organisations {
-		if o.Prepaid != site.Unlimited {
-			put.Totals = append(put.Totals, &wire.OrganisationTotal{Organisation: o.Name, Tokens: o.Prepaid})
-		}
-	}
-	_, err := c.fleet.client.Execute(ctx, []*wire.Command{{Op: &wire.Command_PutSite{PutSite: put}}})
+	_, err := putSite(ctx, c.fleet.client, s, document, wire.SiteFormat_SITE_FORMAT_UNSPECIFIED)
 	return err
 }
 
 // ReadSite implements platf.Control.
 func (c *fleetControl) ReadSite(ctx context.Context) (int64, []byte, error) {
 	s, err := c.fleet.client.ReadSite(ctx)
-	return s.GetVersion(), s.GetDocument(), err
+	if err != nil || s.GetFormat() != wire.SiteFormat_SITE_FORMAT_OWN {
+		return s.GetVersion(), s.GetDocument(), err
+	}
+	own, err := decodeSite(s)
+	if err != nil {
+		return 0, nil, err
+	}
+	return s.GetVersion(), platf.EncodeConfiguration(own), nil
 }
 
 // Announce implements platf.Control. The word that an endpoint leaves is
--- a/app/fleet_servers.go
+++ b/app/fleet_servers.go
@@ -31,6 +31,13 @@
 		parts = append(parts, part{"mirror", f.mirror.Run}, part{"wallet", f.wallet.Run}, part{"loads", f.mesh.RunLoads}, part{"guard", f.router.Guard.Run}, part{"router", f.router.Run}, part{"sweep", f.sweep})
 	}
 	served := f.addressesServed(mux)
+	if f.replica != nil && len(f.Settings.Oper.KeyHashes) > 0 {
+		h, err := f.operators()
+		if err != nil {
+			return nil, &Error{Op: "open operators' interface", Kind: KindSetup, Err: err}
+		}
+		served = append(served, servedAddress{"operators", f.Settings.Oper.Address, &http.Server{Handler: h, ReadHeaderTimeout: callerHeaderTimeout}})
+	}
 	for _, s := range served {
 		l, err := net.Listen("tcp", s.address)
 		if err != nil {
--- a/app/main.go
+++ b/app/main.go
@@ -94,6 +94,7 @@
 	c.Register(&topUpCommand{operatorCommand: o}, "operators")
 	c.Register(&keyCommand{operatorCommand: o}, "operators")
 	c.Register(&memberCommand{operatorCommand: o}, "operators")
+	c.Register(&siteCommand{operatorCommand: o}, "operators")
 	c.Register(&statusCommand{operatorCommand: o}, "operators")
 	c.Register(&timelineCommand{operatorCommand: o}, "operators")
 	c.Register(&demoCommand{Shell: s}, "developers")
--- a/app/process.go
+++ b/app/process.go
@@ -279,27 +279,15 @@
 		Ready: p.Ready(), Draining: p.draining.Load(), Version: p.mirror.Version(),
 	}
 	if p.replica != nil {
-		r := p.replica.Status()
-		s.Replica = &oper.ReplicaStatus{ID: r.ID, Role: r.Role, Leader: r.Leader, Term: r.Term, Commit: r.Commit, Applied: r.Applied}
+		s.Replica = replicaStatus(p.replica)
 	}
 	if p.router != nil {
 		s.Requests = p.router.InProgress()
-		s.Endpoints = p.endpointStatus()
+		s.Endpoints = endpointStatus(p.directory)
 	}
 	return s
 }
 
-func (p *Process) endpointStatus() []oper.EndpointStatus {
-	var out []oper.EndpointStatus
-	for _, e := range p.directory.Endpoints() {
-		out = append(out, oper.EndpointStatus{
-			Endpoint: e.ID, Zone: e.Zone, Models: e.Models, Adapters: e.Adapters, Services: e.Services,
-			Capacity: e.Capacity, Leaving: e.Leaving, Dead: e.Dead, Watched: !e.SeenAt.IsZero(),
-		})
-	}
-	return out
-}
-
 // register gives the router its incarnation, before which it takes no work.
 func (p *Process) register(ctx context.Context) error {
 	c := &wire.Command{Id: "register-" + uuid.NewString(), Op: &wire.Command_RegisterRouter{RegisterRouter: &wire.RegisterRouter{
--- /dev/null
+++ b/app/site_control.go
@@ -0,0 +1,62 @@
+package app
+
+import (
+	"context"
+
+	"buckthornpin/ctrl"
+	"buckthornpin/oper"
+	platf "buckthornpin/platform"
+	"buckthornpin/site"
+	"buckthornpin/wire"
+)
+
+// decodeSite decodes a site's document in the form that it was sent in.
+func decodeSite(s *wire.SiteState) (site.Configuration, error) {
+	if s.GetFormat() == wire.SiteFormat_SITE_FORMAT_OWN {
+		return site.Decode(s.GetDocument())
+	}
+	return platf.DecodeConfiguration(s.GetDocument())
+}
+
+// putSite makes a configuration durable, or finds that a higher version is. It
+// returns the version in force.
+func putSite(ctx context.Context, c *ctrl.Client, s site.Configuration, document []byte, form wire.SiteFormat) (int64, error) {
+	put := &wire.PutSite{Version: s.Version, Document: document, Format: form}
+	for _, o := range s.Organisations {
+		if o.Prepaid != site.Unlimited {
+			put.Totals = append(put.Totals, &wire.OrganisationTotal{Organisation: o.Name, Tokens: o.Prepaid})
+		}
+	}
+	results, err := c.Execute(ctx, []*wire.Command{{Op: &wire.Command_PutSite{PutSite: put}}})
+	if err != nil {
+		return 0, err
+	}
+	return results[0].GetVersion(), nil
+}
+
+// siteControl is the site's configuration as our own operators' interface sees
+// it.
+type siteControl struct {
+	client *ctrl.Client
+}
+
+// PutSite implements oper.SiteControl.
+func (c *siteControl) PutSite(ctx context.Context, s site.Configuration) (int64, error) {
+	document, err := site.Encode(s)
+	if err != nil {
+		return 0, err
+	}
+	return putSite(ctx, c.client, s, document, wire.SiteFormat_SITE_FORMAT_OWN)
+}
+
+// ReadSite implements oper.SiteControl.
+func (c *siteControl) ReadSite(ctx context.Context) (site.Configuration, error) {
+	s, err := c.client.ReadSite(ctx)
+	if err != nil {
+		return site.Configuration{}, err
+	}
+	if s.GetVersion() == 0 {
+		return site.Configuration{}, &oper.Error{Op: "read site", Kind: oper.KindNotFound}
+	}
+	return decodeSite(s)
+}
--- a/config/check.go
+++ b/config/check.go
@@ -45,6 +45,11 @@
 	}
 	c.expect(!s.Has(RoleControl) || s.Ctrl.DataDir != "", "ctrl.data_dir", `""`, "the data folder of a control replica")
 	c.expect(len(s.Ctrl.Group) > 0, "ctrl.group", s.Ctrl.Group, "the addresses of the control replicas")
+	s.checkOperators(c)
+}
+
+func (s Settings) checkOperators(c *checker) {
+	c.expect(validAddress(s.Oper.Address), "oper.address", s.Oper.Address, "IP:PORT")
 	for _, h := range s.Oper.KeyHashes {
 		c.expect(len(h) == 64, "oper.key_hashes", h, "64 hexadecimal digits, as `buckthornpin key` prints them")
 	}
--- a/config/settings.go
+++ b/config/settings.go
@@ -3,33 +3,13 @@
 package config
 
 import (
-	"encoding/json"
 	"time"
 
-	"github.com/go-faster/errors"
+	"buckthornpin"
 )
 
 // Duration is a time span, written like "1.5s" in files.
-type Duration time.Duration
-
-// MarshalJSON implements json.Marshaler.
-func (d Duration) MarshalJSON() ([]byte, error) {
-	return json.Marshal(time.Duration(d).String())
-}
-
-// UnmarshalJSON implements json.Unmarshaler.
-func (d *Duration) UnmarshalJSON(data []byte) error {
-	var s string
-	if err := json.Unmarshal(data, &s); err != nil {
-		return errors.Errorf("%s: expected a duration such as \"1.5s\"", data)
-	}
-	v, err := time.ParseDuration(s)
-	if err != nil {
-		return errors.Errorf("%q: expected a duration such as \"1.5s\"", s)
-	}
-	*d = Duration(v)
-	return nil
-}
+type Duration = buckthornpin.Duration
 
 // Settings are all settings of a process.
 type Settings struct {
@@ -129,7 +109,7 @@
 type OperSettings struct {
 	// Address is the IP:PORT that each process serves operators on.
 	Address string `json:"address"`
-	// KeyHashes are hashes of operators' keys that are valid from the start.
+	// KeyHashes are hashes of operators' keys that are valid from the start. On the users' platform control VMs serve the interface if there are any.
 	KeyHashes []string `json:"key_hashes"`
 }
 
--- a/ctrl/site_mirror.go
+++ b/ctrl/site_mirror.go
@@ -16,8 +16,8 @@
 type SiteMirror struct {
 	Client *Client
 	Router string
-	// Decode decodes a document.
-	Decode func(document []byte) (site.Configuration, error)
+	// Decode decodes a document of any form.
+	Decode func(s *wire.SiteState) (site.Configuration, error)
 	// Taken is called with each configuration before it is in force, if set.
 	Taken func(t *site.Table)
 	Log   zerolog.Logger
@@ -81,7 +81,7 @@
 		return
 	}
 	started := time.Now()
-	c, err := m.Decode(s.GetDocument())
+	c, err := m.Decode(s)
 	if err != nil {
 		m.Log.Error().Err(err).Int64("version", s.GetVersion()).Msg("configuration can't be used")
 		return
--- a/ledger/share.go
+++ b/ledger/share.go
@@ -56,7 +56,7 @@
 	if c.GetVersion() <= l.site.GetVersion() {
 		return &wire.Result{Kind: wire.ResultKind_RESULT_KIND_OK, Version: l.site.GetVersion()}
 	}
-	l.site = &wire.SiteState{Version: c.GetVersion(), Document: c.GetDocument()}
+	l.site = &wire.SiteState{Version: c.GetVersion(), Document: c.GetDocument(), Format: c.GetFormat()}
 	for _, t := range c.GetTotals() {
 		l.allowance(t.GetOrganisation()).total = t.GetTokens()
 	}
--- a/oper/client.go
+++ b/oper/client.go
@@ -124,6 +124,8 @@
 	switch {
 	case status == http.StatusUnauthorized:
 		return KindUnauthorised
+	case status == http.StatusNotFound:
+		return KindNotFound
 	case status == http.StatusConflict:
 		return KindRefused
 	case status < http.StatusInternalServerError:
--- a/oper/error.go
+++ b/oper/error.go
@@ -10,6 +10,8 @@
 	KindInvalid Kind = "invalid"
 	// KindRefused is a change that the system refuses.
 	KindRefused Kind = "refused"
+	// KindNotFound is something that there isn't.
+	KindNotFound Kind = "not_found"
 	// KindUnauthorised is a call without a valid operator's key.
 	KindUnauthorised Kind = "unauthorised"
 	// KindUnavailable is a process or a control group that can't be reached.
--- a/oper/server.go
+++ b/oper/server.go
@@ -15,6 +15,7 @@
 
 	"buckthornpin"
 	"buckthornpin/event"
+	"buckthornpin/site"
 	"buckthornpin/wire"
 )
 
@@ -25,11 +26,15 @@
 	MembersPath  = "/admin/v1/members"
 	StatusPath   = "/admin/v1/status"
 	TimelinePath = "/admin/v1/timeline"
+	SitePath     = "/admin/v1/site"
 )
 
 const (
 	// maxChangeBytes bounds a change.
 	maxChangeBytes = 1 << 20
+	// maxSiteBytes bounds a site's configuration: thousands of routes of about 300
+	// bytes each.
+	maxSiteBytes = 16 << 20
 	// controlTimeout bounds how long an operator's call waits for control.
 	controlTimeout = 10 * time.Second
 )
@@ -41,6 +46,16 @@
 	ChangeMembers(ctx context.Context, r *wire.ChangeMembersRequest) (*wire.ChangeMembersReply, error)
 }
 
+// SiteControl holds a site's routes, services and organisations.
+type SiteControl interface {
+	// PutSite makes a configuration durable, or finds that a higher version is. It
+	// returns the version in force.
+	PutSite(ctx context.Context, c site.Configuration) (int64, error)
+	// ReadSite returns the newest configuration; the error is of KindNotFound before
+	// the first one.
+	ReadSite(ctx context.Context) (site.Configuration, error)
+}
+
 // Status is what a process says of itself.
 type Status struct {
 	VM        string           `json:"vm"`
@@ -82,8 +97,10 @@
 // Server serves operators. Its exported fields are set before Handler.
 type Server struct {
 	Control Control
-	Line    *event.Line
-	Status  func() Status
+	// Site is nil in processes that don't serve a site's routes.
+	Site   SiteControl
+	Line   *event.Line
+	Status func() Status
 	// Operator reports whether a hash is that of an operator's key.
 	Operator func(hash string) bool
 	// Hash returns the hash of a key.
@@ -102,6 +119,10 @@
 	app.Post(MembersPath, iris.LimitRequestBodySize(maxChangeBytes), s.members)
 	app.Get(StatusPath, func(ctx iris.Context) { _ = ctx.JSON(s.Status()) })
 	app.Get(TimelinePath, s.timeline)
+	if s.Site != nil {
+		app.Put(SitePath, iris.LimitRequestBodySize(maxSiteBytes), s.putSite)
+		app.Get(SitePath, s.readSite)
+	}
 	return app, buckthornpin.WrapIf(app.Build(), "build operator handler")
 }
 
