Read the newest log only: an older one may come back torn

A loss of power leaves a torn tail; the replica cuts it off, starts the next log and removes the old one, neither synced. A second loss of power brings the old log back, torn and not the newest any more, which was taken for damage: the VM never starts again. Ruled out: damage of synced records (the newest log is whole), a torn new log (it is renamed into place after its sync). Mend: the newest log begins with all that older ones held, so older ones aren't read; the cut of the tail isn't needed then.

--- a/store/folder.go
+++ b/store/folder.go
@@ -132,24 +132,26 @@
 	return nil
 }
 
+// readLogs reads the newest log. It began with all that older ones held and was
+// durable before they were removed; one that is still there, or is back after a loss
+// of power, tells nothing more and may end in a torn record.
 func (f *Folder) readLogs(c *Content) error {
 	names, err := f.names(walPrefix)
-	if err != nil {
+	if err != nil || len(names) == 0 {
 		return err
 	}
-	for i, name := range names {
-		if _, err := fmt.Sscanf(strings.TrimPrefix(name, walPrefix), "%d", &f.seq); err != nil {
-			return corrupt(name, 0, err)
-		}
-		if err := f.readLog(c, name, i == len(names)-1); err != nil {
-			return err
-		}
+	name := names[len(names)-1]
+	if _, err := fmt.Sscanf(strings.TrimPrefix(name, walPrefix), "%d", &f.seq); err != nil {
+		return corrupt(name, 0, err)
+	}
+	if err := f.readLog(c, name); err != nil {
+		return err
 	}
 	c.Entries = after(c.Entries, c.Snapshot.GetIndex())
 	return checkContiguous(c)
 }
 
-func (f *Folder) readLog(c *Content, name string, last bool) error {
+func (f *Folder) readLog(c *Content, name string) error {
 	path := filepath.Join(f.Path, name)
 	buf, err := os.ReadFile(path)
 	if err != nil {
@@ -157,9 +159,9 @@
 	}
 	for at := 0; at < len(buf); {
 		r, n, err := DecodeRecord(buf[at:])
-		if errors.Is(err, errTorn) && last {
+		if errors.Is(err, errTorn) {
 			c.TornBytes = int64(len(buf) - at)
-			return ioError("cut torn tail", os.Truncate(path, int64(at)))
+			return nil
 		}
 		if err != nil {
 			return corrupt(name, at, err)
--- a/store/folder_test.go
+++ b/store/folder_test.go
@@ -81,6 +81,32 @@
 	}
 }
 
+// TestOlderLogComesBack: the pattern is two losses of power in a row. The first
+// leaves a torn tail; the replica cuts it off, starts a new log and removes the old
+// one. The second loss brings the old log back, torn, since neither the cut nor the
+// removal was synced. The new log holds all that counts.
+func TestOlderLogComesBack(t *testing.T) {
+	path := newFolder(t)
+	f, _ := open(t, path)
+	require.NoError(t, f.Save(&wire.HardState{Term: 2}, entries(1, 3), true))
+	require.NoError(t, f.Close())
+	older := newestLog(t, path)
+	data, err := os.ReadFile(older)
+	require.NoError(t, err)
+	torn := data[:len(data)-5]
+	require.NoError(t, os.WriteFile(older, torn, fileMode))
+
+	f, _ = open(t, path)
+	require.NoError(t, f.Save(nil, entries(3, 4), true))
+	require.NoError(t, f.Close())
+	require.NoError(t, os.WriteFile(older, torn, fileMode))
+
+	_, c := open(t, path)
+	requireEntries(t, entries(1, 4), c.Entries)
+	require.Equal(t, uint64(2), c.HardState.GetTerm())
+	require.Len(t, logs(t, path), 1, "the older log is removed again")
+}
+
 func TestZeroFilledTailIsCutOff(t *testing.T) {
 	path := newFolder(t)
 	f, _ := open(t, path)
