--- a/app/process.go
+++ b/app/process.go
@@ -107,10 +107,7 @@
 func (p *Process) openTLS() error {
 	p.traffic = &conn.Traffic{}
 	p.metrics.Set("internal", p.traffic.Metrics())
-	p.dialer = &conn.Dialer{Traffic: p.traffic}
-	for _, v := range p.Settings.Dial {
-		p.dialer.Via = append(p.dialer.Via, conn.Via{Address: v.Address, Through: v.Through})
-	}
+	p.dialer = &conn.Dialer{Traffic: p.traffic, Via: vias(p.Settings)}
 	t := p.Settings.TLS
 	if !t.Enabled {
 		return nil
@@ -122,6 +119,15 @@
 	return err
 }
 
+// vias are the addresses that the process reaches through others.
+func vias(s config.Settings) []conn.Via {
+	var out []conn.Via
+	for _, v := range s.Dial {
+		out = append(out, conn.Via{Address: v.Address, Through: v.Through})
+	}
+	return out
+}
+
 func (p *Process) openSecret() error {
 	path := p.Settings.Endpt.SecretFile
 	if path == "" {
--- a/config/check.go
+++ b/config/check.go
@@ -71,6 +71,13 @@
 	return out
 }
 
+func (s Settings) checkDial(c *checker) {
+	for _, d := range s.Dial {
+		c.expect(validAddress(d.Address), "dial.address", d.Address, "IP:PORT")
+		c.expect(validAddress(d.Through), "dial.through", d.Through, "IP:PORT")
+	}
+}
+
 func (s Settings) checkAddresses(c *checker) {
 	seen := map[string]string{}
 	for _, l := range s.listeners() {
@@ -79,10 +86,7 @@
 		c.expect(!taken || l.address == "" || anyPort(l.address), l.field, l.address, "an address other than that of "+other)
 		seen[l.address] = l.field
 	}
-	for _, d := range s.Dial {
-		c.expect(validAddress(d.Address), "dial.address", d.Address, "IP:PORT")
-		c.expect(validAddress(d.Through), "dial.through", d.Through, "IP:PORT")
-	}
+	s.checkDial(c)
 	for _, a := range s.Ctrl.Group {
 		c.expect(validAddress(a), "ctrl.group", a, "IP:PORT")
 	}
--- a/config/check_platform.go
+++ b/config/check_platform.go
@@ -21,6 +21,7 @@
 		s.checkOperators(c)
 		c.expect(s.Ctrl.DataDir != "", "ctrl.data_dir", `""`, "the data folder of a control replica")
 	}
+	s.checkDial(c)
 	c.expect(validPort(p.MeshPort), "platform.mesh_port", p.MeshPort, "a port")
 	c.expect(validPort(p.MetricsPort) && p.MetricsPort != p.MeshPort, "platform.metrics_port", p.MetricsPort, "a port other than mesh_port")
 	for _, a := range p.SeedList() {
--- a/integ/site_test.go
+++ b/integ/site_test.go
@@ -44,10 +44,30 @@
 	args     []string
 	settings config.Settings
 	cmd      *exec.Cmd
-	log      *bytes.Buffer
+	log      *output
 	ended    chan error
 }
 
+// output is what a process has written; it can be read while the process runs.
+type output struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (o *output) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.Write(p)
+}
+
+// String returns all that was written.
+func (o *output) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.String()
+}
+
 // site is a whole site of real processes.
 type site struct {
 	t        testing.TB
@@ -217,9 +237,10 @@
 
 func (s *site) spawn(v *vm) {
 	s.t.Helper()
-	v.log = &bytes.Buffer{}
+	v.log = &output{}
 	v.cmd = exec.Command(program, v.args...)
 	v.cmd.Stderr = v.log
+	v.cmd.Stdout = v.log
 	require.NoError(s.t, v.cmd.Start())
 	v.ended = make(chan error, 1)
 	go func() { v.ended <- v.cmd.Wait() }()
