Listen to a process that was started with its time of day set back

Cause: found by reading. A process's incarnation in the mesh is the time of its start. After clock_step back and a restart within the step the others took the new process for old news and ignored it for as long as silent processes are remembered (20 contact times): no loans, no loads, no part of the retry budget from it. Mend: a process that hears of a higher incarnation under its own address takes one above it. Test: such a start, which failed before (the later process stayed unknown). Shares of budgets use nanoseconds of their own and only have to differ: not touched.

--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -147,7 +147,7 @@
 
 func (m *Mesh) request(news []*wire.EndpointState) *wire.TellRequest {
 	r := &wire.TellRequest{
-		Vm: m.Nodes.Self.Address, Incarnation: m.Nodes.Self.Incarnation, Nodes: m.Nodes.Some(someNodes), Endpoints: news,
+		Vm: m.Nodes.Self.Address, Incarnation: m.Nodes.Incarnation(), Nodes: m.Nodes.Some(someNodes), Endpoints: news,
 	}
 	if m.Budgets != nil {
 		r.Balances = m.Budgets.Balances()
@@ -230,7 +230,7 @@
 	if m.Budgets != nil {
 		m.Budgets.Accept(r)
 	}
-	return &wire.GiveReply{Incarnation: m.Nodes.Self.Incarnation}, nil
+	return &wire.GiveReply{Incarnation: m.Nodes.Incarnation()}, nil
 }
 
 // AskTransfer asks another router for a part of its share.
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -62,6 +62,33 @@
 	require.Len(t, router.Nodes.Controls(), 2)
 }
 
+// TestProcessThatStartsInThePast: the pattern is a VM whose time of day is set back
+// between two starts of its process. The others listen to the later process all the
+// same, as soon as it has heard of the earlier one.
+func TestProcessThatStartsInThePast(t *testing.T) {
+	const address = "127.0.0.1:1"
+	now := time.Now()
+	start := func(incarnation int64) *Nodes {
+		return &Nodes{Self: Node{VM: "b", Address: address, Incarnation: incarnation}, AliveFor: time.Minute, ForgetAfter: time.Hour}
+	}
+	joined := 0
+	a := &Nodes{
+		Self: Node{VM: "a", Address: "127.0.0.1:2", Incarnation: 1}, AliveFor: time.Minute, ForgetAfter: time.Hour,
+		Joined: func(Node) { joined++ },
+	}
+	earlier := start(2_000)
+	earlier.Round(now)
+	a.Merge(earlier.States(), now)
+
+	later := start(500)
+	later.Merge(a.States(), now)
+	later.Round(now)
+	a.Merge(later.States(), now.Add(time.Hour))
+	require.Len(t, a.Living(now.Add(time.Hour)), 1, "the later process is alive to the others")
+	require.Equal(t, 2, joined)
+	require.Equal(t, later.Incarnation(), a.Living(now.Add(time.Hour))[0].Incarnation)
+}
+
 // TestOthersSumsUpLoads: a router's newest word replaces its earlier one, and what
 // was told too long ago doesn't count.
 func TestOthersSumsUpLoads(t *testing.T) {
--- a/peer/nodes.go
+++ b/peer/nodes.go
@@ -49,11 +49,15 @@
 }
 
 func (n *Nodes) mergeOne(s *wire.NodeState, now time.Time) (Node, bool) {
-	if s.GetAddress() == "" || s.GetAddress() == n.Self.Address {
-		return Node{}, false
-	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if s.GetAddress() == n.Self.Address {
+		n.outlive(s.GetIncarnation())
+		return Node{}, false
+	}
+	if s.GetAddress() == "" {
+		return Node{}, false
+	}
 	old := n.known[s.GetAddress()]
 	if old != nil && (s.GetIncarnation() < old.Incarnation || s.GetIncarnation() == old.Incarnation && s.GetBeat() <= old.Beat) {
 		return Node{}, false
@@ -70,6 +74,23 @@
 	return *next, fresh
 }
 
+// outlive takes an incarnation above one that others have heard of under this
+// process's address. Incarnations come from the time of day: one that was set back
+// between two starts makes the later process look like the earlier one, which nobody
+// would listen to. The caller holds mu.
+func (n *Nodes) outlive(incarnation int64) {
+	if incarnation > n.Self.Incarnation {
+		n.Self.Incarnation = incarnation + 1
+	}
+}
+
+// Incarnation returns this process's incarnation.
+func (n *Nodes) Incarnation() int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.Self.Incarnation
+}
+
 // Round raises this process's beat and forgets processes that have been silent
 // for long.
 func (n *Nodes) Round(now time.Time) {
