Move the outcome of a reservation to the root package

budget imported relay for it, the wrong way round: both sides of an interface now share buckthornpin.Covering.

--- a/budget/borrow.go
+++ b/budget/borrow.go
@@ -5,19 +5,19 @@
 	"slices"
 	"time"
 
-	"buckthornpin/relay"
+	"buckthornpin"
 	"buckthornpin/wire"
 )
 
 // wait looks for tokens elsewhere until the request is covered or nothing more
 // can be had.
-func (w *Wallet) wait(ctx context.Context, organisation string, s *share, tokens int64) relay.Cover {
+func (w *Wallet) wait(ctx context.Context, organisation string, s *share, tokens int64) buckthornpin.Cover {
 	tried := false
 	for {
 		w.mu.Lock()
 		if s.reserve(tokens, time.Now()) {
 			w.mu.Unlock()
-			return relay.Covered
+			return buckthornpin.Covered
 		}
 		changed, leads := s.changed, !s.acquiring
 		if leads && (tried || time.Since(s.failedAt) < acquirePause) {
@@ -35,18 +35,18 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return relay.Elsewhere
+			return buckthornpin.CoveredElsewhere
 		}
 	}
 }
 
 // verdict says whether the whole budget is known to be too small for a request.
 // The caller holds mu.
-func (w *Wallet) verdict(s *share, tokens int64) relay.Cover {
+func (w *Wallet) verdict(s *share, tokens int64) buckthornpin.Cover {
 	if time.Since(w.heardAt) > heardWithin || s.reserved > 0 || s.balance()+s.free+s.others() >= tokens {
-		return relay.Elsewhere
+		return buckthornpin.CoveredElsewhere
 	}
-	return relay.Spent
+	return buckthornpin.BudgetSpent
 }
 
 // acquire asks control, where it was heard lately, and then the other routers,
--- a/budget/wallet.go
+++ b/budget/wallet.go
@@ -8,7 +8,7 @@
 
 	"github.com/rs/zerolog"
 
-	"buckthornpin/relay"
+	"buckthornpin"
 	"buckthornpin/wire"
 )
 
@@ -127,17 +127,17 @@
 }
 
 // Reserve implements relay.Funds.
-func (w *Wallet) Reserve(ctx context.Context, organisation string, tokens int64) relay.Covering {
+func (w *Wallet) Reserve(ctx context.Context, organisation string, tokens int64) buckthornpin.Covering {
 	w.mu.Lock()
 	s := w.share(organisation)
 	if w.closing {
 		w.mu.Unlock()
-		return relay.Covering{Cover: relay.Elsewhere}
+		return buckthornpin.Covering{Cover: buckthornpin.CoveredElsewhere}
 	}
 	if s.reserve(tokens, time.Now()) {
 		w.mu.Unlock()
 		w.metrics.covered.Add(1)
-		return relay.Covering{Cover: relay.Covered}
+		return buckthornpin.Covering{Cover: buckthornpin.Covered}
 	}
 	s.waiting += tokens
 	w.mu.Unlock()
@@ -149,16 +149,16 @@
 }
 
 // covering counts an outcome and adds what it was decided on. The caller holds mu.
-func (w *Wallet) covering(s *share, cover relay.Cover) relay.Covering {
+func (w *Wallet) covering(s *share, cover buckthornpin.Cover) buckthornpin.Covering {
 	switch cover {
-	case relay.Covered:
+	case buckthornpin.Covered:
 		w.metrics.covered.Add(1)
-	case relay.Spent:
+	case buckthornpin.BudgetSpent:
 		w.metrics.spent.Add(1)
 	default:
 		w.metrics.elsewhere.Add(1)
 	}
-	return relay.Covering{Cover: cover, Balance: s.balance(), Others: s.others(), Free: s.free, ControlAge: time.Since(w.heardAt)}
+	return buckthornpin.Covering{Cover: cover, Balance: s.balance(), Others: s.others(), Free: s.free, ControlAge: time.Since(w.heardAt)}
 }
 
 // Settle implements relay.Funds.
--- a/budget/wallet_test.go
+++ b/budget/wallet_test.go
@@ -8,8 +8,8 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"buckthornpin"
 	"buckthornpin/ledger"
-	"buckthornpin/relay"
 	"buckthornpin/wire"
 )
 
@@ -58,7 +58,7 @@
 	}
 }
 
-func reserve(t *testing.T, w *Wallet, tokens int64) relay.Cover {
+func reserve(t *testing.T, w *Wallet, tokens int64) buckthornpin.Cover {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
@@ -72,7 +72,7 @@
 	c := newControl(100_000)
 	w := newWallet(c, "router")
 	w.report(context.Background(), []string{"fleet"})
-	require.Equal(t, relay.Covered, reserve(t, w, 90_000))
+	require.Equal(t, buckthornpin.Covered, reserve(t, w, 90_000))
 }
 
 // TestWholeBudgetCanBeSpent: a small budget under a demand above it is handed
@@ -83,14 +83,14 @@
 	w.report(context.Background(), []string{"fleet"})
 	spent := int64(0)
 	for range 100 {
-		if reserve(t, w, 1_000) == relay.Covered {
+		if reserve(t, w, 1_000) == buckthornpin.Covered {
 			w.Settle("fleet", 1_000, 1_000)
 			spent += 1_000
 		}
 		w.report(context.Background(), []string{"fleet"})
 	}
 	require.Equal(t, int64(100_000), spent)
-	require.Equal(t, relay.Spent, reserve(t, w, 1_000))
+	require.Equal(t, buckthornpin.BudgetSpent, reserve(t, w, 1_000))
 }
 
 // TestSharesLastThroughACut: the pattern is that of each standard day, a steady
@@ -101,14 +101,14 @@
 	const each = 5_000
 	w.report(context.Background(), []string{"fleet"})
 	for range 40 {
-		require.Equal(t, relay.Covered, reserve(t, w, each))
+		require.Equal(t, buckthornpin.Covered, reserve(t, w, each))
 		w.Settle("fleet", each, each)
 		w.report(context.Background(), []string{"fleet"})
 	}
 	c.cut = true
 	rate := w.share("fleet").rate.now(time.Now())
 	for range int(rate * w.Horizon.Seconds() / each) {
-		require.Equal(t, relay.Covered, reserve(t, w, each))
+		require.Equal(t, buckthornpin.Covered, reserve(t, w, each))
 		w.Settle("fleet", each, each)
 	}
 }
@@ -126,7 +126,7 @@
 	w.report(context.Background(), []string{"fleet"})
 	require.Zero(t, w.share("fleet").balance())
 	w.report(context.Background(), []string{"fleet"})
-	require.NotEqual(t, relay.Covered, reserve(t, w, 1_000))
+	require.NotEqual(t, buckthornpin.Covered, reserve(t, w, 1_000))
 }
 
 // heir is a lender that takes what is handed over to another wallet.
@@ -170,7 +170,7 @@
 		spent := int64(0)
 		for range 200 {
 			living.report(context.Background(), []string{"fleet"})
-			if reserve(t, living, 500) == relay.Covered {
+			if reserve(t, living, 500) == buckthornpin.Covered {
 				living.Settle("fleet", 500, 500)
 				spent += 500
 			}
@@ -188,5 +188,5 @@
 	w.Close(context.Background(), nil)
 	other := newWallet(c, "b")
 	other.report(context.Background(), []string{"fleet"})
-	require.Equal(t, relay.Covered, reserve(t, other, 100_000))
+	require.Equal(t, buckthornpin.Covered, reserve(t, other, 100_000))
 }
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -101,13 +101,13 @@
 	ctx, cancel := context.WithTimeout(ctx, f.route.Objective/coverWait)
 	defer cancel()
 	c := f.router.Funds.Reserve(ctx, f.owner.Name, most)
-	if c.Cover == Covered {
+	if c.Cover == buckthornpin.Covered {
 		f.reserved = most
 		return true
 	}
 	f.log("not_covered").Int64("tokens", most).Int64("balance", c.Balance).Int64("other_routers", c.Others).
 		Int64("free", c.Free).Dur("control_age_ms", c.ControlAge).Msg("budget doesn't cover the request")
-	if c.Cover == Spent {
+	if c.Cover == buckthornpin.BudgetSpent {
 		f.refuse(ReasonBudgetSpent, 0)
 		return false
 	}
--- a/relay/flight_test.go
+++ b/relay/flight_test.go
@@ -68,9 +68,9 @@
 // account notes what is charged.
 type account struct{ reserved, spent int64 }
 
-func (a *account) Reserve(_ context.Context, _ string, tokens int64) Covering {
+func (a *account) Reserve(_ context.Context, _ string, tokens int64) buckthornpin.Covering {
 	a.reserved += tokens
-	return Covering{Cover: Covered}
+	return buckthornpin.Covering{Cover: buckthornpin.Covered}
 }
 
 func (a *account) Settle(_ string, reserved, spent int64) {
--- a/relay/router.go
+++ b/relay/router.go
@@ -18,33 +18,11 @@
 type Funds interface {
 	// Reserve holds tokens of an organisation's budget until Settle. It waits
 	// for shares of other routers until ctx ends.
-	Reserve(ctx context.Context, organisation string, tokens int64) Covering
+	Reserve(ctx context.Context, organisation string, tokens int64) buckthornpin.Covering
 	// Settle ends a reservation of which some tokens were spent.
 	Settle(organisation string, reserved, spent int64)
 }
 
-// Cover is the outcome of a reservation.
-type Cover int
-
-const (
-	// Covered requests may run.
-	Covered Cover = iota
-	// Elsewhere says that other processes may hold what lacks here.
-	Elsewhere
-	// Spent says that the whole budget doesn't cover the request.
-	Spent
-)
-
-// Covering is the outcome of a reservation and what it was decided on.
-type Covering struct {
-	Cover Cover
-	// Balance is what this router held, Others what other routers had told to hold,
-	// and Free what control had said that no router holds, in tokens.
-	Balance, Others, Free int64
-	// ControlAge is the time since control answered last.
-	ControlAge time.Duration
-}
-
 // Directory knows the endpoints.
 type Directory interface {
 	Serving(t buckthornpin.Target) []*buckthornpin.Endpoint
