Share the connections of an endpoint out over the routers; forget what a restarted one kept

Each router keeps its requests under way at an endpoint to the service's bound over the number of living routers; without any endpoint with room the request is refused at once. No message is needed. Ruled out: counting open connections (an idle one is used before another is opened, so that requests under way bound them). An endpoint that starts again under its id keeps no part of a prompt: the tracker went on expecting them there. Both with a test of the load in route.

--- a/app/fleet.go
+++ b/app/fleet.go
@@ -204,9 +204,9 @@
 	f.router = &relay.Router{
 		Zone: f.Settings.Zone, Site: f.mirror.Table, Directory: f.directory, Endpoints: &platf.Endpoints{Pool: f.pool},
 		Funds: f.wallet, Loads: f.mesh, Log: f.Log, Guard: &relay.Guard{LinkBytes: p.LinkMbps * 1e6 / 8},
+		Routers: f.routers,
 		Retries: &relay.Retries{
-			Ratio: p.RetryRatio, Slack: p.RetrySlack, Window: time.Duration(p.RetryWindow),
-			Routers: func() int { return 1 + len(f.nodes.Routers(time.Now())) },
+			Ratio: p.RetryRatio, Slack: p.RetrySlack, Window: time.Duration(p.RetryWindow), Routers: f.routers,
 		},
 	}
 	f.router.Open()
@@ -219,6 +219,9 @@
 	f.metrics.Set("endpoint_connections", &f.dialed)
 }
 
+// routers is the number of living routers, this one included.
+func (f *Fleet) routers() int { return 1 + f.nodes.CountRouters(time.Now()) }
+
 // crashes are those that other routers should hear of.
 func (f *Fleet) crashes() []*wire.CrashState {
 	var out []*wire.CrashState
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -85,6 +85,8 @@
 	later.Round(now)
 	a.Merge(later.States(), now.Add(time.Hour))
 	require.Len(t, a.Living(now.Add(time.Hour)), 1, "the later process is alive to the others")
+	require.Equal(t, 1, a.CountRouters(now.Add(time.Hour)))
+	require.Zero(t, a.CountRouters(now.Add(2*time.Hour)))
 	require.Equal(t, 2, joined)
 	require.Equal(t, later.Incarnation(), a.Living(now.Add(time.Hour))[0].Incarnation)
 }
--- a/peer/nodes.go
+++ b/peer/nodes.go
@@ -152,6 +152,19 @@
 	return n.living(now, func(k *Node) bool { return !k.Control })
 }
 
+// CountRouters counts the living routers besides this process.
+func (n *Nodes) CountRouters(now time.Time) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	count := 0
+	for _, k := range n.known {
+		if !k.Control && now.Sub(k.HeardAt) <= n.AliveFor {
+			count++
+		}
+	}
+	return count
+}
+
 // Controls returns the known control processes, ordered by address, also silent
 // ones: control is asked wherever it may be.
 func (n *Nodes) Controls() []Node {
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -161,11 +161,12 @@
 	all := r.Directory.Serving(buckthornpin.Target{Service: f.service.Name})
 	living := make([]route.Engine, 0, len(all))
 	var silent []route.Engine
+	most := r.connections(f.service)
 	for _, e := range all {
 		if e.Leaving || f.tried[e.ID] {
 			continue
 		}
-		c := route.Engine{Endpoint: e, Others: r.Loads.Others(e.ID)}
+		c := route.Engine{Endpoint: e, Others: r.Loads.Others(e.ID), Most: most}
 		if e.Dead {
 			silent = append(silent, c)
 			continue
@@ -178,6 +179,16 @@
 	return r.tracker.Choose(living, f.work(), r.Zone, time.Now())
 }
 
+// connections is this router's part of the connections that an endpoint of a service
+// accepts from all callers; 0 where the service names no bound. A request under way
+// takes one, and an idle one is used again before another is opened.
+func (r *Router) connections(s *site.Service) int {
+	if s.MaxConnections == 0 || r.Routers == nil {
+		return 0
+	}
+	return max(s.MaxConnections/r.Routers(), 1)
+}
+
 // work describes the request to the choice of an endpoint.
 func (f *flight) work() route.Work {
 	p := f.request.Prompt
--- a/relay/router.go
+++ b/relay/router.go
@@ -47,6 +47,9 @@
 	Funds     Funds
 	Loads     Loads
 	Retries   *Retries
+	// Routers returns the number of living routers, this one included; nil if it
+	// isn't known.
+	Routers func() int
 	// Guard is nil where the VM's load isn't watched.
 	Guard *Guard
 	Log   zerolog.Logger
--- a/route/tracker.go
+++ b/route/tracker.go
@@ -21,6 +21,8 @@
 type Engine struct {
 	Endpoint *buckthornpin.Endpoint
 	Others   Load
+	// Most is how many requests this router may have under way there; 0 is no bound.
+	Most int
 }
 
 // Part is a part of a prompt; endpoints keep parts that they have read.
@@ -73,11 +75,21 @@
 }
 
 type engineState struct {
-	load     Load
-	failures int
-	until    time.Time
-	parts    map[string]time.Time
-	usedAt   time.Time
+	// incarnation is the endpoint's start that parts belong to.
+	incarnation int64
+	load        Load
+	failures    int
+	until       time.Time
+	parts       map[string]time.Time
+	usedAt      time.Time
+}
+
+// follow forgets what an endpoint kept once it has started again under its id.
+func (s *engineState) follow(e *buckthornpin.Endpoint) {
+	if s.incarnation != e.Incarnation {
+		s.incarnation = e.Incarnation
+		clear(s.parts)
+	}
 }
 
 // Run is a request under way at an endpoint.
@@ -192,7 +204,7 @@
 }
 
 // Failed notes that the endpoint didn't answer as it should: it is avoided for a
-// while, and what it kept counts as lost.
+// while.
 func (t *Tracker) Failed(id string, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -225,7 +237,8 @@
 }
 
 // Choose returns the endpoint at which the request is expected to begin first;
-// ok is false where there is none. Endpoints that failed lately come last.
+// ok is false where there is none. Endpoints that failed lately come last; one that
+// has as many requests of this router as it may have gets none.
 func (t *Tracker) Choose(all []Engine, w Work, zone string, now time.Time) (best Choice, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -235,6 +248,10 @@
 	home := homeOf(ranks, w)
 	for i, e := range all {
 		s := t.state(e.Endpoint.ID)
+		s.follow(e.Endpoint)
+		if e.Most > 0 && s.load.Running >= e.Most {
+			continue
+		}
 		missing := s.expected(w, i == home)
 		cost := s.cost(e, w, missing)
 		if e.Endpoint.Zone != zone {
--- a/route/tracker_test.go
+++ b/route/tracker_test.go
@@ -53,6 +53,48 @@
 	require.Equal(t, first.Endpoint.ID, again.Endpoint.ID)
 }
 
+// TestFullEndpointGetsNoMore: the pattern is a burst beyond the connections that an
+// endpoint accepts from all routers. Each router keeps to its part, and says so
+// where all endpoints have theirs.
+func TestFullEndpointGetsNoMore(t *testing.T) {
+	now := time.Unix(1_000, 0)
+	var tracker Tracker
+	all := engines(2)
+	for i := range all {
+		all[i].Most = 3
+	}
+	counts := map[string]int{}
+	for range 6 {
+		c, ok := tracker.Choose(all, Work{}, "z", now)
+		require.True(t, ok)
+		tracker.Start(c, Work{}, now)
+		counts[c.Endpoint.ID]++
+	}
+	require.Equal(t, map[string]int{"e0": 3, "e1": 3}, counts)
+	_, ok := tracker.Choose(all, Work{}, "z", now)
+	require.False(t, ok)
+}
+
+// TestRestartedEndpointKeepsNothing: the pattern is an endpoint that crashes and
+// starts again under its id. What it had read doesn't count any more.
+func TestRestartedEndpointKeepsNothing(t *testing.T) {
+	now := time.Unix(1_000, 0)
+	w := Work{Model: true, Tokens: 10_000, Parts: []Part{{ID: "file", Tokens: 8_000}}}
+	var tracker Tracker
+	one := engines(1)
+	c, _ := tracker.Choose(one, w, "z", now)
+	require.Equal(t, int64(10_000), c.Missing)
+	tracker.Start(c, w, now).End()
+	c, _ = tracker.Choose(one, w, "z", now)
+	require.Equal(t, int64(2_000), c.Missing)
+
+	again := *one[0].Endpoint
+	again.Incarnation++
+	one[0].Endpoint = &again
+	c, _ = tracker.Choose(one, w, "z", now)
+	require.Equal(t, int64(10_000), c.Missing)
+}
+
 // TestIdleEndpointsAreForgotten: endpoints come and go for as long as a router
 // lives; one with a request under way is kept.
 func TestIdleEndpointsAreForgotten(t *testing.T) {
