Send connections elsewhere while the link is full, and count what waits on it

Ruled out: the processor (0.06 of 0.19), endpoints (53 ms). Mend: half of the shortest round trip of the mesh is what waits on the link. A request counts as that much older; a body has until its route's timeout (408 then); beyond half of the objective requests are turned away; readiness is off while the link is full, until the balancer has noticed. Also here, as it shares the mesh's files: a router that doesn't hear control takes a newer configuration from any other router, and routers now and then tell one that has been silent, so that one started in a cut serves (TestFleetStartsInACut).

--- a/app/fleet.go
+++ b/app/fleet.go
@@ -203,7 +203,7 @@
 	}
 	f.router = &relay.Router{
 		Zone: f.Settings.Zone, Site: f.mirror.Table, Directory: f.directory, Endpoints: &platf.Endpoints{Pool: f.pool},
-		Funds: f.wallet, Loads: f.mesh, Log: f.Log, Guard: &relay.Guard{LinkBytes: p.LinkMbps * 1e6 / 8},
+		Funds: f.wallet, Loads: f.mesh, Log: f.Log, Guard: &relay.Guard{LinkBytes: p.LinkMbps * 1e6 / 8, NoticedAfter: balancerNotices},
 		Routers: f.routers,
 		Retries: &relay.Retries{
 			Ratio: p.RetryRatio, Slack: p.RetrySlack, Window: time.Duration(p.RetryWindow), Routers: f.routers,
@@ -211,7 +211,9 @@
 	}
 	f.router.Open()
 	f.mesh.Budgets = f.wallet
+	f.mesh.Site = f.mirror
 	f.mesh.OwnLoads = f.router.OwnLoads
+	f.mesh.ShortestTrip = f.router.Guard.ObserveTrip
 	f.mesh.Crashes = f.crashes
 	f.mesh.TakeCrash = f.takeCrash
 	f.metrics.Set("router", f.router.Metrics())
@@ -247,9 +249,9 @@
 }
 
 // Ready reports whether a router takes new work: it knows a configuration and
-// endpoints, and isn't stopping.
+// endpoints, its link isn't full, and it isn't stopping.
 func (f *Fleet) Ready() bool {
-	return !f.draining.Load() && f.mirror.Table() != nil && len(f.directory.Endpoints()) > 0
+	return !f.draining.Load() && f.mirror.Table() != nil && len(f.directory.Endpoints()) > 0 && !f.router.Guard.LinkFull(time.Now())
 }
 
 const (
--- a/app/fleet_servers.go
+++ b/app/fleet_servers.go
@@ -91,7 +91,7 @@
 }
 
 // Admit implements the ingress's router.
-func (f *Fleet) Admit(id, host, path string, bytes int64, now time.Time) (relay.Refusal, bool) {
+func (f *Fleet) Admit(id, host, path string, bytes int64, now time.Time) relay.Admission {
 	return f.router.Admit(id, host, path, bytes, now)
 }
 
--- a/app/site_command.go
+++ b/app/site_command.go
@@ -81,7 +81,9 @@
 }
 
 func (c *siteCommand) show(ctx context.Context) subcommands.ExitStatus {
-	s, err := first(ctx, &c.operatorCommand, func(ctx context.Context, client *oper.Client) (site.Configuration, error) { return client.ReadSite(ctx) })
+	s, err := first(ctx, &c.operatorCommand, func(ctx context.Context, client *oper.Client) (site.Configuration, error) {
+		return client.ReadSite(ctx)
+	})
 	if err != nil {
 		return c.fail(ExitFailed, err)
 	}
--- a/ctrl/site_mirror.go
+++ b/ctrl/site_mirror.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,7 +25,11 @@
 
 	table    atomic.Pointer[site.Table]
 	revision int64
-	heard    bool
+	heard    atomic.Bool
+	// mu keeps two configurations from being taken at once; state is the document of
+	// the table.
+	mu    sync.Mutex
+	state *wire.SiteState
 }
 
 // Table returns the configuration in force, nil before the first.
@@ -41,7 +46,7 @@
 		}
 		m.note(true)
 		m.revision = max(m.revision, reply.GetRevision())
-		m.take(reply.GetSite())
+		m.take(reply.GetSite(), "control")
 	}
 	return nil
 }
@@ -55,10 +60,9 @@
 
 // note logs when control is lost or heard again.
 func (m *SiteMirror) note(heard bool) {
-	if heard != m.heard {
+	if m.heard.Swap(heard) != heard {
 		m.Log.Info().Bool("heard", heard).Int64("version", m.version()).Msg("link to control has changed")
 	}
-	m.heard = heard
 }
 
 func (m *SiteMirror) version() int64 {
@@ -70,13 +74,33 @@
 
 func (m *SiteMirror) request() *wire.SyncRequest {
 	r := &wire.SyncRequest{Router: m.Router, Revision: m.revision, SiteVersion: m.version()}
-	if m.heard {
+	if m.heard.Load() {
 		r.WaitMs = syncWait.Milliseconds()
 	}
 	return r
 }
 
-func (m *SiteMirror) take(s *wire.SiteState) {
+// Wanted implements peer.Site: a router that doesn't hear control takes what other
+// routers have.
+func (m *SiteMirror) Wanted() (version int64, wanted bool) { return m.version(), !m.heard.Load() }
+
+// Above implements peer.Site.
+func (m *SiteMirror) Above(version int64) *wire.SiteState {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.state.GetVersion() <= version {
+		return nil
+	}
+	return m.state
+}
+
+// Take implements peer.Site.
+func (m *SiteMirror) Take(s *wire.SiteState) { m.take(s, "router") }
+
+// take puts a configuration in force that is newer than the one held.
+func (m *SiteMirror) take(s *wire.SiteState, from string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	if s.GetVersion() <= m.version() {
 		return
 	}
@@ -92,5 +116,6 @@
 		m.Taken(t)
 	}
 	m.table.Store(t)
-	m.Log.Info().Int64("version", c.Version).Int("routes", len(c.Routes)).Dur("took_ms", time.Since(started)).Msg("configuration is in force")
+	m.state = s
+	m.Log.Info().Int64("version", c.Version).Str("from", from).Int("routes", len(c.Routes)).Dur("took_ms", time.Since(started)).Msg("configuration is in force")
 }
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -48,6 +48,17 @@
 	Accept(r *wire.GiveRequest)
 }
 
+// Site is a router's copy of the site's configuration.
+type Site interface {
+	// Wanted returns the version held, and whether a newer one is taken from other
+	// routers.
+	Wanted() (version int64, wanted bool)
+	// Above returns the configuration if its version is higher, or nil.
+	Above(version int64) *wire.SiteState
+	// Take puts a configuration in force if it is newer than the one held.
+	Take(s *wire.SiteState)
+}
+
 // Mesh is what all processes of a site tell each other: who lives, news of
 // endpoints, and, among routers, what is under way and what is left of the
 // budgets. Its exported fields are set before Run.
@@ -62,10 +73,14 @@
 	// Crashes and TakeCrash exchange the endpoints that ended under a request.
 	Crashes   func() []*wire.CrashState
 	TakeCrash func(c *wire.CrashState)
-	// Budgets, OwnLoads, Crashes and TakeCrash are nil in control processes.
+	// Budgets, Site, OwnLoads, Crashes and TakeCrash are nil in control processes.
 	Budgets  Budgets
+	Site     Site
 	OwnLoads func() map[string]route.Load
-	Log      zerolog.Logger
+	// ShortestTrip is called with the shortest round trip of each round in which
+	// another process answered, if set.
+	ShortestTrip func(d time.Duration)
+	Log          zerolog.Logger
 
 	// changed tells that a load has changed that others should know at once.
 	changed chan struct{}
@@ -96,6 +111,7 @@
 	targets := m.targets(now)
 	request := m.request(m.Directory.News())
 	alone := len(m.Nodes.Controls()) == 0
+	trips := make(chan time.Duration, len(targets))
 	var all sync.WaitGroup
 	for i, address := range targets {
 		r := request
@@ -104,13 +120,36 @@
 			r.Nodes = m.Nodes.States()
 			r.Digest = m.Directory.Digest()
 		}
-		all.Go(func() { m.tell(ctx, address, r) })
+		all.Go(func() {
+			sent := time.Now()
+			if m.tell(ctx, address, r) {
+				trips <- time.Since(sent)
+			}
+		})
 	}
 	all.Wait()
+	close(trips)
+	m.noteTrips(trips)
+}
+
+// noteTrips passes the shortest of a round's trips on: what all have in common is
+// this process's own link.
+func (m *Mesh) noteTrips(trips <-chan time.Duration) {
+	shortest := time.Duration(0)
+	for d := range trips {
+		if shortest == 0 || d < shortest {
+			shortest = d
+		}
+	}
+	if shortest > 0 && m.ShortestTrip != nil {
+		m.ShortestTrip(shortest)
+	}
 }
 
 // targets are the processes that a round tells: routers tell all routers, or a
-// few of many, and now and then a control process; control processes tell a few.
+// few of many, and now and then a control process and a router that has been silent:
+// one that was started again while it is cut from control knows nobody else; control
+// processes tell a few.
 func (m *Mesh) targets(now time.Time) []string {
 	var out []string
 	if !m.Nodes.Self.Control {
@@ -118,7 +157,7 @@
 		if m.rounds%slowRounds != 1 {
 			return out
 		}
-		return append(out, m.someControl()...)
+		return append(append(out, m.someControl()...), one(m.Nodes.SilentRouters(now))...)
 	}
 	return append(draw(m.Nodes.Living(now), fanOut), m.someControl()...)
 }
@@ -130,7 +169,15 @@
 	if len(controls) == 0 {
 		return m.Seeds()
 	}
-	return []string{controls[rand.IntN(len(controls))].Address}
+	return one(controls)
+}
+
+// one draws the address of one process, if there is any.
+func one(nodes []Node) []string {
+	if len(nodes) == 0 {
+		return nil
+	}
+	return []string{nodes[rand.IntN(len(nodes))].Address}
 }
 
 func draw(nodes []Node, n int) []string {
@@ -152,6 +199,9 @@
 	if m.Budgets != nil {
 		r.Balances = m.Budgets.Balances()
 	}
+	if m.Site != nil {
+		r.SiteVersion, r.WantsSite = m.Site.Wanted()
+	}
 	r.Loads = m.loadStates()
 	if m.Crashes != nil {
 		r.Crashes = m.Crashes()
@@ -159,22 +209,26 @@
 	return r
 }
 
-// tell tells one process. Where the digests differ each side tells the other all
-// that it knows.
-func (m *Mesh) tell(ctx context.Context, address string, r *wire.TellRequest) {
+// tell tells one process and reports whether it answered. Where the digests differ
+// each side tells the other all that it knows.
+func (m *Mesh) tell(ctx context.Context, address string, r *wire.TellRequest) bool {
 	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
 	defer cancel()
 	reply, err := m.client(address).Tell(ctx, r)
 	if err != nil {
-		return
+		return false
 	}
 	m.Nodes.Merge(reply.GetNodes(), time.Now())
 	m.Directory.Merge(reply.GetEndpoints())
+	if m.Site != nil && reply.GetSite() != nil {
+		m.Site.Take(reply.GetSite())
+	}
 	if reply.GetDiffers() {
 		full := m.request(m.Directory.States())
 		full.Nodes = m.Nodes.States()
 		_, _ = m.client(address).Tell(ctx, full)
 	}
+	return true
 }
 
 // Push tells news of endpoints to the living processes at once and waits until
@@ -207,10 +261,14 @@
 	if m.Budgets != nil && len(r.GetBalances()) > 0 {
 		m.Budgets.TakeBalances(r.GetVm(), r.GetIncarnation(), r.GetBalances())
 	}
+	reply := &wire.TellReply{}
+	if m.Site != nil && r.GetWantsSite() {
+		reply.Site = m.Site.Above(r.GetSiteVersion())
+	}
 	if r.GetDigest() == 0 {
-		return &wire.TellReply{}, nil
+		return reply, nil
 	}
-	reply := &wire.TellReply{Nodes: m.Nodes.States()}
+	reply.Nodes = m.Nodes.States()
 	if r.GetDigest() != m.Directory.Digest() {
 		reply.Endpoints, reply.Differs = m.Directory.States(), true
 	}
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -87,10 +87,29 @@
 	require.Len(t, a.Living(now.Add(time.Hour)), 1, "the later process is alive to the others")
 	require.Equal(t, 1, a.CountRouters(now.Add(time.Hour)))
 	require.Zero(t, a.CountRouters(now.Add(2*time.Hour)))
+	require.Len(t, a.SilentRouters(now.Add(2*time.Hour)), 1)
 	require.Equal(t, 2, joined)
 	require.Equal(t, later.Incarnation(), a.Living(now.Add(time.Hour))[0].Incarnation)
 }
 
+// TestShortestTrip: of a round only the shortest trip is passed on, and none where
+// nobody answers.
+func TestShortestTrip(t *testing.T) {
+	var got []time.Duration
+	m := &Mesh{ShortestTrip: func(d time.Duration) { got = append(got, d) }}
+	note := func(all ...time.Duration) {
+		trips := make(chan time.Duration, len(all))
+		for _, d := range all {
+			trips <- d
+		}
+		close(trips)
+		m.noteTrips(trips)
+	}
+	note(30*time.Millisecond, 4*time.Millisecond, 900*time.Millisecond)
+	note()
+	require.Equal(t, []time.Duration{4 * time.Millisecond}, got)
+}
+
 // TestOthersSumsUpLoads: a router's newest word replaces its earlier one, and what
 // was told too long ago doesn't count.
 func TestOthersSumsUpLoads(t *testing.T) {
--- a/peer/nodes.go
+++ b/peer/nodes.go
@@ -152,6 +152,11 @@
 	return n.living(now, func(k *Node) bool { return !k.Control })
 }
 
+// SilentRouters returns the known routers that don't count as living.
+func (n *Nodes) SilentRouters(now time.Time) []Node {
+	return n.pick(func(k *Node) bool { return !k.Control && now.Sub(k.HeardAt) > n.AliveFor })
+}
+
 // CountRouters counts the living routers besides this process.
 func (n *Nodes) CountRouters(now time.Time) int {
 	n.mu.Lock()
--- a/relay/guard.go
+++ b/relay/guard.go
@@ -14,6 +14,13 @@
 	// lagShare is the part of a route's objective that the wait for the processor
 	// may take before requests are turned away to other routers.
 	lagShare = 8
+	// waitShare is the same for the wait on the link. It is larger: a request that is
+	// read has waited already, and its body comes in any case; turned away are only
+	// those whose answers would wait beyond the objective as well.
+	waitShare = 2
+	// fullWait is the wait on the link from which on a VM takes no new connections:
+	// a quarter of the second that callers wait for one.
+	fullWait = 250 * time.Millisecond
 	// linkShare is the part of the VM's link that bodies of requests may take; the
 	// rest is for answers, other processes and headers.
 	linkShare = 0.7
@@ -27,10 +34,16 @@
 	// LinkBytes is what the VM's link carries in a second; 0 if unknown.
 	LinkBytes float64
 
+	// NoticedAfter is the time in which the balancer finds that a VM takes no new
+	// connections.
+	NoticedAfter time.Duration
+
 	lag    atomic.Int64
+	trip   atomic.Int64
 	mu     sync.Mutex
 	spent  float64
 	at     time.Time
+	fullAt time.Time
 	turned atomic.Int64
 }
 
@@ -59,13 +72,33 @@
 // Lag returns how late the process gets the processor.
 func (g *Guard) Lag() time.Duration { return time.Duration(g.lag.Load()) }
 
+// ObserveTrip takes the shortest round trip to other processes, as each round of the
+// mesh finds it. A rise counts at once, a fall by halves.
+func (g *Guard) ObserveTrip(d time.Duration) {
+	g.trip.Store(int64(max(d, time.Duration(g.trip.Load())/2)))
+}
+
+// LinkWait returns how long bytes wait on the VM's link on their way in: half of the
+// shortest round trip, as bodies come in and go out in equal amounts.
+func (g *Guard) LinkWait() time.Duration { return time.Duration(g.trip.Load()) / 2 }
+
 // Turned counts the requests that were turned away.
 func (g *Guard) Turned() int64 { return g.turned.Load() }
 
+// LinkFull reports whether bodies have lately filled the VM's link. What is turned
+// away fills it all the same, since callers send their bodies at once; only new
+// connections that go to other VMs relieve it.
+func (g *Guard) LinkFull(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.LinkWait() > fullWait || !g.fullAt.IsZero() && now.Sub(g.fullAt) < g.NoticedAfter
+}
+
 // Admits reports whether a request with a body of so many bytes and a latency
 // objective can be carried.
 func (g *Guard) Admits(bytes int64, objective time.Duration, now time.Time) bool {
-	if objective > 0 && g.Lag() > objective/lagShare || !g.takeLink(float64(max(bytes, 0)), now) {
+	late := objective > 0 && (g.Lag() > objective/lagShare || g.LinkWait() > objective/waitShare)
+	if late || !g.takeLink(float64(max(bytes, 0)), now) {
 		g.turned.Add(1)
 		return false
 	}
@@ -83,6 +116,7 @@
 	g.spent = max(g.spent-now.Sub(g.at).Seconds()*rate, 0)
 	g.at = now
 	if g.spent > rate*linkBurst.Seconds() {
+		g.fullAt = now
 		return false
 	}
 	g.spent += bytes
--- a/relay/guard_test.go
+++ b/relay/guard_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"buckthornpin/site"
 )
 
 // TestGuardOnAFullLink: the pattern is an organisation whose callers all reach one
@@ -40,3 +42,49 @@
 	require.True(t, g.Admits(1, 300*time.Millisecond, now))
 	require.Equal(t, int64(1), g.Turned())
 }
+
+// TestGuardOnAFullLinkSendsConnectionsElsewhere: the pattern is the same crowd.
+// Turning requests away doesn't relieve the link, so the VM says that it takes no
+// new connections, until the crowd has been gone for as long as the balancer needs.
+func TestGuardOnAFullLinkSendsConnectionsElsewhere(t *testing.T) {
+	g, start := &Guard{LinkBytes: 1_250_000, NoticedAfter: 2 * time.Second}, time.Unix(1_000, 0)
+	require.False(t, g.LinkFull(start))
+	for i := range 500 {
+		g.Admits(17_000, time.Second, start.Add(time.Duration(i)*2*time.Millisecond))
+	}
+	end := start.Add(time.Second)
+	require.True(t, g.LinkFull(end.Add(time.Second)))
+	require.False(t, g.LinkFull(end.Add(3*time.Second)))
+}
+
+// TestGuardOnALinkThatDelays: the pattern is a zone's callers that all come at once,
+// so that what arrives waits on the VM's link. Requests are turned away before they
+// cost more of it, new connections go elsewhere, and the time that a request waited
+// counts as passed.
+func TestGuardOnALinkThatDelays(t *testing.T) {
+	g, now := &Guard{LinkBytes: 1_250_000, NoticedAfter: time.Second}, time.Unix(1_000, 0)
+	g.ObserveTrip(6 * time.Millisecond)
+	require.True(t, g.Admits(1_000, 300*time.Millisecond, now))
+	require.False(t, g.LinkFull(now))
+
+	g.ObserveTrip(1600 * time.Millisecond)
+	require.Equal(t, 800*time.Millisecond, g.LinkWait())
+	require.False(t, g.Admits(1_000, 300*time.Millisecond, now))
+	require.True(t, g.LinkFull(now))
+
+	table := site.NewTable(site.Configuration{
+		Services: []site.Service{{Name: "app"}},
+		Routes:   []site.Route{{Name: "r", Host: "h", PathPrefix: "/", Timeout: 2 * time.Second, Shares: []site.Share{{Service: "app", Weight: 1}}}},
+	})
+	r := &Router{Guard: g, Site: func() *site.Table { return table }}
+	a := r.Admit("id", "h", "/x", 1_000, now)
+	require.False(t, a.Refused, "a route without an objective is only bound by its timeout")
+	require.Equal(t, now.Add(-800*time.Millisecond), a.Arrived)
+	require.Equal(t, now.Add(1200*time.Millisecond), a.BodyBy)
+
+	for range 12 {
+		g.ObserveTrip(6 * time.Millisecond)
+	}
+	require.False(t, g.LinkFull(now))
+	require.True(t, g.Admits(1_000, 300*time.Millisecond, now))
+}
--- a/relay/request.go
+++ b/relay/request.go
@@ -29,7 +29,9 @@
 	// LastEvent is the id of the event behind which the caller goes on; "" at a
 	// stream's start.
 	LastEvent string
-	Arrived   time.Time
+	// Arrived is when the request reached this VM's link; its headers may have been
+	// read later.
+	Arrived time.Time
 	// Deadline is when the caller stops waiting; zero where it doesn't say.
 	Deadline time.Time
 }
@@ -109,6 +111,8 @@
 	ReasonQuarantined Reason = "quarantined"
 	// ReasonOverload is a request that this VM can't carry in time; others can.
 	ReasonOverload Reason = "overload"
+	// ReasonSlowBody is a request whose body wasn't there when its time had passed.
+	ReasonSlowBody Reason = "slow_body"
 	// ReasonTimeout is a request whose time has passed before it was sent.
 	ReasonTimeout Reason = "timeout"
 	// ReasonNoAnswer is a request that was sent and got no answer in time.
@@ -117,6 +121,17 @@
 	ReasonBroken Reason = "broken"
 )
 
+// Admission is what is decided on a request before its body is read.
+type Admission struct {
+	// Refused says that the request can't be carried, and Refusal why.
+	Refused bool
+	Refusal Refusal
+	// Arrived is when the request reached this VM's link.
+	Arrived time.Time
+	// BodyBy is when the body has to be there; zero if nothing bounds it.
+	BodyBy time.Time
+}
+
 // Refusal is a final answer of the system's own.
 type Refusal struct {
 	Reason Reason
--- a/relay/router.go
+++ b/relay/router.go
@@ -78,21 +78,31 @@
 // OwnLoads returns what this router has under way, by endpoint.
 func (r *Router) OwnLoads() map[string]route.Load { return r.tracker.Loads() }
 
-// Admit decides whether a request can be carried, before its body is read. Without
-// it the refusal says why.
-func (r *Router) Admit(id, host, path string, bytes int64, now time.Time) (Refusal, bool) {
+// Admit decides whether a request can be carried, before its body is read, and how
+// long the body may take: a request whose route's time has passed isn't served any
+// more.
+func (r *Router) Admit(id, host, path string, bytes int64, now time.Time) Admission {
+	a := Admission{Arrived: now}
+	if r.Guard != nil {
+		a.Arrived = now.Add(-r.Guard.LinkWait())
+	}
 	t := r.Site()
-	if r.Guard == nil || t == nil {
-		return Refusal{}, true
+	if t == nil {
+		return a
 	}
 	to := t.Route(host, path)
-	if to == nil || r.Guard.Admits(bytes, to.Objective, now) {
-		return Refusal{}, true
+	if to == nil {
+		return a
+	}
+	a.BodyBy = a.Arrived.Add(to.Timeout)
+	if r.Guard == nil || r.Guard.Admits(bytes, to.Objective, now) {
+		return a
 	}
+	a.Refused, a.Refusal = true, Refusal{Reason: ReasonOverload, RetryAfter: elsewhere}
 	r.Log.Info().Str("request", id).Str("outcome", string(ReasonOverload)).Str("route", to.Name).Int64("bytes", bytes).
-		Dur("lag_ms", r.Guard.Lag()).Msg("request was turned away")
+		Dur("lag_ms", r.Guard.Lag()).Dur("link_ms", r.Guard.LinkWait()).Msg("request was turned away")
 	r.metrics.count(ReasonOverload)
-	return Refusal{Reason: ReasonOverload, RetryAfter: elsewhere}, false
+	return a
 }
 
 // elsewhere is when a caller that was turned away should come again: it reaches
