Soak: older versions are sent again, both interfaces put, a failing test ends

- resendOlder sends a version again that another one has replaced; versions go through our own interface and the platform's by turns; stand-ins work for 30 ms, so that crashes find requests under way.
- The fixture waited for ever for its callers when a scenario had failed.

--- a/integ/fleet_calm_test.go
+++ b/integ/fleet_calm_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -14,20 +15,17 @@
 // startLoad starts callers for each organisation and returns what ends them.
 func (f *fleet) startLoad(perOrganisation int, pause time.Duration, seed uint64) func() {
 	ctx, stop := context.WithCancel(f.ctx)
-	done := make(chan struct{})
-	n := 0
+	var callers sync.WaitGroup
 	for i, o := range sortedKeys(f.plan.prepaid) {
 		for j := range perOrganisation {
 			c := &client{fleet: f, organisation: o, random: rand.New(rand.NewPCG(seed, uint64(i*100+j))), pause: pause}
-			n++
-			f.parts.Go(func() { c.load(ctx); done <- struct{}{} })
+			callers.Go(func() { c.load(ctx) })
 		}
 	}
+	f.parts.Go(callers.Wait)
 	return func() {
 		stop()
-		for range n {
-			<-done
-		}
+		callers.Wait()
 	}
 }
 
--- a/integ/fleet_engine_test.go
+++ b/integ/fleet_engine_test.go
@@ -34,12 +34,14 @@
 	// grey is the number of requests of which one fails; 0 fails none.
 	grey atomic.Int64
 	seen atomic.Int64
-	// fetch is how long a stream takes between two events.
+	// pace is the time between two events of a stream.
 	pace time.Duration
 }
 
 const (
-	enginePace   = 5 * time.Millisecond
+	enginePace = 5 * time.Millisecond
+	// plainWork is long enough for crashes to find requests under way.
+	plainWork    = 30 * time.Millisecond
 	streamEvents = 8
 	plainBody    = 800
 )
@@ -170,7 +172,13 @@
 		e.stream(w, r, id)
 		return
 	}
-	_, _ = w.Write([]byte(plainAnswer(id)))
+	timer := time.NewTimer(plainWork)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		_, _ = w.Write([]byte(plainAnswer(id)))
+	case <-r.Context().Done():
+	}
 }
 
 func (e *engine) decline(w http.ResponseWriter, status int) {
--- a/integ/fleet_fault_test.go
+++ b/integ/fleet_fault_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -48,6 +49,34 @@
 	f.requireReadBack()
 }
 
+// TestFleetStartsInACut: description: a router is killed and started again while all
+// routers are cut from control. It serves by what the other routers know.
+func TestFleetStartsInACut(t *testing.T) {
+	f := startFleet(t, fleetPlan{controls: 3, routers: 3, models: 3, plain: 2, prepaid: plenty})
+	end := f.startLoad(3, 25*time.Millisecond, 6)
+	defer end()
+	f.lasting(2 * time.Second)
+	f.cutFromControl()
+	v := f.routers[0]
+	f.kill(v)
+	f.relaunch(v, false)
+	began := time.Now()
+	f.eventually("the router serves", func() bool {
+		if !strings.Contains(v.log.String(), `"from":"router"`) {
+			return false
+		}
+		for _, a := range f.view.between(began, time.Now()) {
+			if a.router == v.name && a.status == 200 {
+				return true
+			}
+		}
+		return false
+	})
+	f.healAll()
+	f.requireRecovery("the cut")
+	f.requireRules()
+}
+
 // TestFleetFinalFault: description: right after a configuration was acknowledged
 // all processes are killed. It isn't lost, and requests are served again in time.
 func TestFleetFinalFault(t *testing.T) {
--- a/integ/fleet_test.go
+++ b/integ/fleet_test.go
@@ -23,6 +23,7 @@
 	"buckthornpin/caller"
 	"buckthornpin/config"
 	"buckthornpin/oper"
+	platf "buckthornpin/platform"
 	sitecfg "buckthornpin/site"
 )
 
@@ -237,10 +238,7 @@
 // tryPut sends a configuration to each control VM in turn until one acknowledges.
 func (f *fleet) tryPut(c sitecfg.Configuration) bool {
 	for _, v := range f.controls {
-		ctx, cancel := context.WithTimeout(f.ctx, 2*time.Second)
-		_, err := f.fleetOperator(v).PutSite(ctx, c)
-		cancel()
-		if err == nil {
+		if f.putAt(v, c) {
 			f.noteAcked(c.Version)
 			return true
 		}
@@ -248,6 +246,18 @@
 	return false
 }
 
+// putAt puts a configuration at one control VM: odd versions through our own
+// interface, even ones through the platform's.
+func (f *fleet) putAt(v *vm, c sitecfg.Configuration) bool {
+	if c.Version%2 == 0 {
+		return f.call(f.ctx, v, http.MethodPut, "/buckthornpin/config", platf.EncodeConfiguration(c))
+	}
+	ctx, cancel := context.WithTimeout(f.ctx, 2*time.Second)
+	defer cancel()
+	_, err := f.fleetOperator(v).PutSite(ctx, c)
+	return err == nil
+}
+
 func (f *fleet) noteAcked(version int64) {
 	for {
 		old := f.acked.Load()
@@ -299,7 +309,7 @@
 	})
 }
 
-func (f *fleet) addEngine(model bool) *engine {
+func (f *fleet) addEngine(model bool) {
 	f.t.Helper()
 	e := &engine{fleet: f, id: fmt.Sprintf("engine-%d", len(f.engines)+1), service: plainSvc, born: time.Now().UnixMilli()}
 	if model {
@@ -308,7 +318,6 @@
 	e.open()
 	f.engines = append(f.engines, e)
 	f.run(e.beat)
-	return e
 }
 
 // balancer watches which routers take new connections, as the platform does.
--- a/integ/site_test.go
+++ b/integ/site_test.go
@@ -306,7 +306,7 @@
 
 func (s *site) printLogs() {
 	for _, v := range s.vms {
-		s.t.Logf("%s:\n%s", v.name, lastBytes(v.log.String(), 2000))
+		s.t.Logf("%s:\n%s", v.name, lastBytes(v.log.String(), 6000))
 	}
 }
 
--- a/integ/soak_test.go
+++ b/integ/soak_test.go
@@ -169,7 +169,8 @@
 	span := 300*time.Millisecond + time.Duration(s.random.Int64N(int64(3*time.Second)))
 	faults := []func(at, span time.Duration){
 		s.killOne, s.killOne, s.stopOne, s.killAll, s.wipeOne, s.freezeOne, s.cutRouters, s.cutOne, s.oneWay,
-		s.crashEngine, s.greyEngine, s.leaveEngine, s.changeConfiguration, s.changeConfiguration, s.hup,
+		s.crashEngine, s.greyEngine, s.leaveEngine, s.changeConfiguration, s.changeConfiguration,
+		s.resendOlder, s.hup,
 	}
 	faults[s.random.IntN(len(faults))](at, span)
 }
@@ -388,6 +389,21 @@
 	})
 }
 
+// resendOlder sends a version again that another one has replaced: it may be
+// acknowledged, and changes nothing.
+func (s *soak) resendOlder(at, _ time.Duration) {
+	v := s.pick(s.controls)
+	s.at(at, func() {
+		older := s.acked.Load() - 1
+		if older < 1 {
+			return
+		}
+		s.note("%s: version %d is sent again", v.name, older)
+		c := s.configuration(older)
+		s.parts.Go(func() { s.putAt(v, c) })
+	})
+}
+
 func (s *soak) hup(at, _ time.Duration) {
 	v := s.pick(s.all())
 	s.at(at, func() {
