Soak: a kept seed plays the same faults for ever

Faults are drawn from the kinds that there were when a seed was kept; new kinds come at the end of the list.

--- a/integ/soak_test.go
+++ b/integ/soak_test.go
@@ -30,19 +30,22 @@
 // soakCase is a seed that is played again in each run of the tests.
 type soakCase struct {
 	seed uint64
+	// kinds is how many kinds of faults there were when the seed was kept: it plays
+	// the same ones for ever.
+	kinds int
 	// why says what the seed once found, or which faults it plays.
 	why string
 }
 
 var soakCases = []soakCase{
-	{104, "asked a process to stop 90 ms after its start, before it listened to signals"},
-	{111, "all processes killed while an endpoint is replaced and just after a router was cut off"},
+	{104, 15, "asked a process to stop 90 ms after its start, before it listened to signals"},
+	{111, 15, "all processes killed while an endpoint is replaced and just after a router was cut off"},
 }
 
 // TestSoak plays the seeds that are kept.
 func TestSoak(t *testing.T) {
 	for _, c := range soakCases {
-		t.Run(fmt.Sprintf("seed %d", c.seed), func(t *testing.T) { playSoak(t, c.seed) })
+		t.Run(fmt.Sprintf("seed %d", c.seed), func(t *testing.T) { playSoak(t, c.seed, c.kinds) })
 	}
 }
 
@@ -50,7 +53,7 @@
 func TestSoakFresh(t *testing.T) {
 	for i := range *soakSeeds {
 		seed := *soakFirst + uint64(i)
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { playSoak(t, seed) })
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { playSoak(t, seed, allKinds) })
 	}
 }
 
@@ -87,7 +90,10 @@
 	do func()
 }
 
-func playSoak(t *testing.T, seed uint64) {
+// allKinds is the number of entries of soak.kinds.
+const allKinds = 16
+
+func playSoak(t *testing.T, seed uint64, kinds int) {
 	prepaid := map[string]int64{"head-office": 50_000_000, "portmore": 20_000_000, "small": 60_000}
 	s := &soak{
 		fleet:  startFleet(t, fleetPlan{controls: *soakControls, routers: *soakRouters, models: 3, plain: 2, prepaid: prepaid}),
@@ -97,7 +103,7 @@
 	s.run(s.readConfiguration)
 	s.began = time.Now()
 	for range soakFaults/2 + s.random.IntN(soakFaults) {
-		s.draw()
+		s.draw(kinds)
 	}
 	s.playSteps()
 	s.healEverything()
@@ -163,16 +169,20 @@
 	}
 }
 
-// draw plans a fault.
-func (s *soak) draw() {
-	at := time.Duration(s.random.Int64N(int64(soakSpan)))
-	span := 300*time.Millisecond + time.Duration(s.random.Int64N(int64(3*time.Second)))
-	faults := []func(at, span time.Duration){
+// kinds are the faults that are drawn; new ones come at the end.
+func (s *soak) kinds() []func(at, span time.Duration) {
+	return []func(at, span time.Duration){
 		s.killOne, s.killOne, s.stopOne, s.killAll, s.wipeOne, s.freezeOne, s.cutRouters, s.cutOne, s.oneWay,
-		s.crashEngine, s.greyEngine, s.leaveEngine, s.changeConfiguration, s.changeConfiguration,
-		s.resendOlder, s.hup,
+		s.crashEngine, s.greyEngine, s.leaveEngine, s.changeConfiguration, s.changeConfiguration, s.hup,
+		s.resendOlder,
 	}
-	faults[s.random.IntN(len(faults))](at, span)
+}
+
+// draw plans a fault of one of the first kinds.
+func (s *soak) draw(kinds int) {
+	at := time.Duration(s.random.Int64N(int64(soakSpan)))
+	span := 300*time.Millisecond + time.Duration(s.random.Int64N(int64(3*time.Second)))
+	s.kinds()[s.random.IntN(kinds)](at, span)
 }
 
 // pick returns a process by lot.
@@ -435,5 +445,6 @@
 		}
 	}
 	require.Empty(s.t, down, "every fault of a process has its end")
+	require.Len(s.t, s.kinds(), allKinds)
 	s.note("all faults are over")
 }
