--- a/budget/strand_test.go
+++ b/budget/strand_test.go
@@ -19,8 +19,8 @@
 
 const (
 	marketRate = 40
-	// marketCut is when the cut begins. Requests spend 324,000 tokens a second from the
-	// second second on; the routers hold half of what is left then, which lasts beyond
+	// marketCut is when the cut begins. Requests spend 324,000 tokens a second from second
+	// two on; the routers hold half of what is left then, which lasts beyond
 	// marketLasts.
 	marketCut    = 12 * time.Second
 	marketLasts  = 2 * time.Second
