Forget an old round trip; one count of what is turned away

- relay.Guard kept the last round trip for as long as no process answered: a router that was cut off from all others while its link was full said that it wasn't ready until it was heard again.
What was seen of the link counts for the balancer's time now (TestGuardForgetsAnOldTrip, which the earlier code can't pass: it had no time).
- Guard.Turned was read by a test alone and counted what router.outcomes counts as overload: the test asks that count, through the router.
- The fields of Guard say which time is whose; metrics make their maps in one place.

--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -78,8 +78,8 @@
 	Site     Site
 	OwnLoads func() map[string]route.Load
 	// ShortestTrip is called with the shortest round trip of each round in which
-	// another process answered, if set.
-	ShortestTrip func(d time.Duration)
+	// another process answered, and the time of its end, if set.
+	ShortestTrip func(d time.Duration, now time.Time)
 	Log          zerolog.Logger
 
 	// changed tells that a load has changed that others should know at once.
@@ -142,7 +142,7 @@
 		}
 	}
 	if shortest > 0 && m.ShortestTrip != nil {
-		m.ShortestTrip(shortest)
+		m.ShortestTrip(shortest, time.Now())
 	}
 }
 
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -96,7 +96,7 @@
 // nobody answers.
 func TestShortestTrip(t *testing.T) {
 	var got []time.Duration
-	m := &Mesh{ShortestTrip: func(d time.Duration) { got = append(got, d) }}
+	m := &Mesh{ShortestTrip: func(d time.Duration, _ time.Time) { got = append(got, d) }}
 	note := func(all ...time.Duration) {
 		trips := make(chan time.Duration, len(all))
 		for _, d := range all {
--- a/relay/guard.go
+++ b/relay/guard.go
@@ -33,18 +33,20 @@
 type Guard struct {
 	// LinkBytes is what the VM's link carries in a second; 0 if unknown.
 	LinkBytes float64
-
 	// NoticedAfter is the time in which the balancer finds that a VM takes no new
-	// connections.
+	// connections. What was seen of the link counts for as long.
 	NoticedAfter time.Duration
 
-	lag    atomic.Int64
-	trip   atomic.Int64
-	mu     sync.Mutex
-	spent  float64
-	at     time.Time
+	lag atomic.Int64
+	mu  sync.Mutex
+	// spent are bytes of bodies beyond what the link has carried at spentAt.
+	spent   float64
+	spentAt time.Time
+	// fullAt is when a body last was more than the link carries.
 	fullAt time.Time
-	turned atomic.Int64
+	// trip is the round trip at tripAt.
+	trip   time.Duration
+	tripAt time.Time
 }
 
 // Run measures how late this process gets the processor until ctx ends.
@@ -74,35 +76,43 @@
 
 // ObserveTrip takes the shortest round trip to other processes, as each round of the
 // mesh finds it. A rise counts at once, a fall by halves.
-func (g *Guard) ObserveTrip(d time.Duration) {
-	g.trip.Store(int64(max(d, time.Duration(g.trip.Load())/2)))
+func (g *Guard) ObserveTrip(d time.Duration, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.trip, g.tripAt = max(d, g.recentTrip(now)/2), now
+}
+
+// recentTrip returns the round trip, 0 if it was long ago: a router that is cut off
+// from the others learns nothing of its link from them. The caller holds mu.
+func (g *Guard) recentTrip(now time.Time) time.Duration {
+	if now.Sub(g.tripAt) >= g.NoticedAfter {
+		return 0
+	}
+	return g.trip
 }
 
 // LinkWait returns how long bytes wait on the VM's link on their way in: half of the
 // shortest round trip, as bodies come in and go out in equal amounts.
-func (g *Guard) LinkWait() time.Duration { return time.Duration(g.trip.Load()) / 2 }
-
-// Turned counts the requests that were turned away.
-func (g *Guard) Turned() int64 { return g.turned.Load() }
+func (g *Guard) LinkWait(now time.Time) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.recentTrip(now) / 2
+}
 
-// LinkFull reports whether bodies have lately filled the VM's link. What is turned
-// away fills it all the same, since callers send their bodies at once; only new
-// connections that go to other VMs relieve it.
+// LinkFull reports whether the VM's link has lately been full, by what bodies take of
+// it or by what waits on it. What is turned away fills it all the same, since callers
+// send their bodies at once; only new connections that go to other VMs relieve it.
 func (g *Guard) LinkFull(now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.LinkWait() > fullWait || !g.fullAt.IsZero() && now.Sub(g.fullAt) < g.NoticedAfter
+	return g.recentTrip(now)/2 > fullWait || !g.fullAt.IsZero() && now.Sub(g.fullAt) < g.NoticedAfter
 }
 
 // Admits reports whether a request with a body of so many bytes and a latency
 // objective can be carried.
 func (g *Guard) Admits(bytes int64, objective time.Duration, now time.Time) bool {
-	late := objective > 0 && (g.Lag() > objective/lagShare || g.LinkWait() > objective/waitShare)
-	if late || !g.takeLink(float64(max(bytes, 0)), now) {
-		g.turned.Add(1)
-		return false
-	}
-	return true
+	late := objective > 0 && (g.Lag() > objective/lagShare || g.LinkWait(now) > objective/waitShare)
+	return !late && g.takeLink(float64(max(bytes, 0)), now)
 }
 
 // takeLink takes a body from what the link carries.
@@ -113,8 +123,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	rate := g.LinkBytes * linkShare
-	g.spent = max(g.spent-now.Sub(g.at).Seconds()*rate, 0)
-	g.at = now
+	g.spent = max(g.spent-now.Sub(g.spentAt).Seconds()*rate, 0)
+	g.spentAt = now
 	if g.spent > rate*linkBurst.Seconds() {
 		g.fullAt = now
 		return false
--- a/relay/guard_test.go
+++ b/relay/guard_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"buckthornpin/site"
@@ -29,6 +30,17 @@
 	require.Equal(t, 30*seconds, admitted(30))
 }
 
+// guarded is a router with one route of an objective.
+func guarded(g *Guard, objective time.Duration) *Router {
+	table := site.NewTable(site.Configuration{
+		Services: []site.Service{{Name: "app"}},
+		Routes: []site.Route{{
+			Name: "r", Host: "h", PathPrefix: "/", Timeout: 2 * time.Second, Objective: objective, Shares: []site.Share{{Service: "app", Weight: 1}},
+		}},
+	})
+	return &Router{Guard: g, Site: func() *site.Table { return table }, Log: zerolog.Nop()}
+}
+
 // TestGuardOnABusyProcessor: requests are turned away as long as the process gets
 // the processor too late for their objective, and taken again soon after.
 func TestGuardOnABusyProcessor(t *testing.T) {
@@ -37,10 +49,12 @@
 	g.observe(100 * time.Millisecond)
 	require.False(t, g.Admits(1, 300*time.Millisecond, now))
 	require.True(t, g.Admits(1, 2*time.Second, now))
+	r := guarded(g, 300*time.Millisecond)
+	require.True(t, r.Admit("id", "h", "/x", 1, now).Refused)
+	require.Equal(t, int64(1), r.metrics.outcomes[string(ReasonOverload)], "what was turned away is counted")
 	g.observe(0)
 	g.observe(0)
 	require.True(t, g.Admits(1, 300*time.Millisecond, now))
-	require.Equal(t, int64(1), g.Turned())
 }
 
 // TestGuardOnAFullLinkSendsConnectionsElsewhere: the pattern is the same crowd.
@@ -63,28 +77,37 @@
 // counts as passed.
 func TestGuardOnALinkThatDelays(t *testing.T) {
 	g, now := &Guard{LinkBytes: 1_250_000, NoticedAfter: time.Second}, time.Unix(1_000, 0)
-	g.ObserveTrip(6 * time.Millisecond)
+	g.ObserveTrip(6*time.Millisecond, now)
 	require.True(t, g.Admits(1_000, 300*time.Millisecond, now))
 	require.False(t, g.LinkFull(now))
 
-	g.ObserveTrip(1600 * time.Millisecond)
-	require.Equal(t, 800*time.Millisecond, g.LinkWait())
+	g.ObserveTrip(1600*time.Millisecond, now)
+	require.Equal(t, 800*time.Millisecond, g.LinkWait(now))
 	require.False(t, g.Admits(1_000, 300*time.Millisecond, now))
 	require.True(t, g.LinkFull(now))
 
-	table := site.NewTable(site.Configuration{
-		Services: []site.Service{{Name: "app"}},
-		Routes:   []site.Route{{Name: "r", Host: "h", PathPrefix: "/", Timeout: 2 * time.Second, Shares: []site.Share{{Service: "app", Weight: 1}}}},
-	})
-	r := &Router{Guard: g, Site: func() *site.Table { return table }}
+	r := guarded(g, 0)
 	a := r.Admit("id", "h", "/x", 1_000, now)
 	require.False(t, a.Refused, "a route without an objective is only bound by its timeout")
 	require.Equal(t, now.Add(-800*time.Millisecond), a.Arrived)
 	require.Equal(t, now.Add(1200*time.Millisecond), a.BodyBy)
 
 	for range 12 {
-		g.ObserveTrip(6 * time.Millisecond)
+		g.ObserveTrip(6*time.Millisecond, now)
 	}
 	require.False(t, g.LinkFull(now))
 	require.True(t, g.Admits(1_000, 300*time.Millisecond, now))
 }
+
+// TestGuardForgetsAnOldTrip: the pattern is a router that is cut off from all others
+// while its link is full. It can't learn that the link is free again from round trips,
+// and takes connections as soon as the balancer has noticed that it took none.
+func TestGuardForgetsAnOldTrip(t *testing.T) {
+	g, now := &Guard{NoticedAfter: 2 * time.Second}, time.Unix(1_000, 0)
+	g.ObserveTrip(1600*time.Millisecond, now)
+	require.True(t, g.LinkFull(now.Add(time.Second)))
+	require.False(t, g.LinkFull(now.Add(2*time.Second)))
+	require.Zero(t, g.LinkWait(now.Add(2*time.Second)))
+	g.ObserveTrip(6*time.Millisecond, now.Add(9*time.Second))
+	require.False(t, g.LinkFull(now.Add(9*time.Second)))
+}
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"expvar"
+	"maps"
 	"sync"
 	"time"
 
@@ -26,20 +27,22 @@
 func (m *metrics) count(reason Reason) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.open()
+	m.outcomes[string(reason)]++
+}
+
+// open makes the maps. The caller holds mu.
+func (m *metrics) open() {
 	if m.outcomes == nil {
 		m.outcomes = map[string]int64{}
 		m.latency = map[string]*hdrhistogram.Histogram{}
 	}
-	m.outcomes[string(reason)]++
 }
 
 func (m *metrics) observe(f *flight, took time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.outcomes == nil {
-		m.outcomes = map[string]int64{}
-		m.latency = map[string]*hdrhistogram.Histogram{}
-	}
+	m.open()
 	m.outcomes[f.outcome]++
 	if f.route == nil {
 		return
@@ -66,10 +69,8 @@
 	return expvar.Func(func() any {
 		m.mu.Lock()
 		defer m.mu.Unlock()
-		outcomes := map[string]int64{}
-		for k, v := range m.outcomes {
-			outcomes[k] = v
-		}
+		m.open()
+		outcomes := maps.Clone(m.outcomes)
 		latency := map[string]latencySummary{}
 		for k, h := range m.latency {
 			latency[k] = latencySummary{
--- a/relay/router.go
+++ b/relay/router.go
@@ -84,7 +84,7 @@
 func (r *Router) Admit(id, host, path string, bytes int64, now time.Time) Admission {
 	a := Admission{Arrived: now}
 	if r.Guard != nil {
-		a.Arrived = now.Add(-r.Guard.LinkWait())
+		a.Arrived = now.Add(-r.Guard.LinkWait(now))
 	}
 	t := r.Site()
 	if t == nil {
@@ -100,7 +100,7 @@
 	}
 	a.Refused, a.Refusal = true, Refusal{Reason: ReasonOverload, RetryAfter: elsewhere}
 	r.Log.Info().Str("request", id).Str("outcome", string(ReasonOverload)).Str("route", to.Name).Int64("bytes", bytes).
-		Dur("lag_ms", r.Guard.Lag()).Dur("link_ms", r.Guard.LinkWait()).Msg("request was turned away")
+		Dur("lag_ms", r.Guard.Lag()).Dur("link_ms", r.Guard.LinkWait(now)).Msg("request was turned away")
 	r.metrics.count(ReasonOverload)
 	return a
 }
