One list of lenders, one count of living routers, no incarnations that nobody reads

- A wallet and its share each had their own choice of the richest router.
- The number of living routers was counted anew for each choice of an endpoint, over all known processes under their lock: it is counted once in each round of the mesh.

--- a/app/fleet.go
+++ b/app/fleet.go
@@ -222,7 +222,7 @@
 }
 
 // routers is the number of living routers, this one included.
-func (f *Fleet) routers() int { return 1 + f.nodes.CountRouters(time.Now()) }
+func (f *Fleet) routers() int { return 1 + f.nodes.LivingRouters() }
 
 // crashes are those that other routers should hear of.
 func (f *Fleet) crashes() []*wire.CrashState {
--- a/budget/borrow.go
+++ b/budget/borrow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"buckthornpin"
@@ -69,12 +68,12 @@
 		w.report(controlCtx, []string{organisation})
 		cancel()
 	}
-	for _, address := range w.richest(s) {
+	for _, l := range w.lenders(s) {
 		lack := w.lack(s)
 		if lack <= 0 || ctx.Err() != nil {
 			return
 		}
-		w.borrow(ctx, organisation, s, address, lack)
+		w.borrow(ctx, organisation, s, l.address, lack)
 	}
 }
 
@@ -85,18 +84,12 @@
 	return s.waiting - s.balance()
 }
 
-// richest returns the routers that have told of a balance, the largest first.
-func (w *Wallet) richest(s *share) []string {
+// lenders returns the routers that are asked for one request.
+func (w *Wallet) lenders(s *share) []lender {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	var out []string
-	for address, p := range s.peers {
-		if p.tokens > 0 && time.Since(p.at) <= balanceLasts {
-			out = append(out, address)
-		}
-	}
-	slices.SortFunc(out, func(a, b string) int { return int(s.peers[b].tokens - s.peers[a].tokens) })
-	return out[:min(len(out), maxLenders)]
+	all := s.richest(time.Now())
+	return all[:min(len(all), maxLenders)]
 }
 
 // borrow asks another router for tokens.
@@ -132,7 +125,7 @@
 }
 
 // TakeBalances implements peer.Budgets.
-func (w *Wallet) TakeBalances(address string, _ int64, all []*wire.BalanceState) {
+func (w *Wallet) TakeBalances(address string, all []*wire.BalanceState) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, b := range all {
--- a/budget/report.go
+++ b/budget/report.go
@@ -96,9 +96,9 @@
 func (w *Wallet) level(ctx context.Context) {
 	w.mu.Lock()
 	type wish struct {
-		name, address string
-		s             *share
-		tokens        int64
+		name string
+		s    *share
+		from lender
 	}
 	var wishes []wish
 	now := time.Now()
@@ -107,12 +107,12 @@
 		if w.closing || s.balance() >= low {
 			continue
 		}
-		if address, p := s.richest(now); p.tokens > levelFactor*max(s.balance(), 1) {
-			wishes = append(wishes, wish{name: name, address: address, s: s, tokens: p.tokens})
+		if all := s.richest(now); len(all) > 0 && all[0].tokens > levelFactor*max(s.balance(), 1) {
+			wishes = append(wishes, wish{name: name, s: s, from: all[0]})
 		}
 	}
 	w.mu.Unlock()
 	for _, x := range wishes {
-		w.borrow(ctx, x.name, x.s, x.address, x.tokens)
+		w.borrow(ctx, x.name, x.s, x.from.address, x.from.tokens)
 	}
 }
--- a/budget/share.go
+++ b/budget/share.go
@@ -1,7 +1,9 @@
 package budget
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -125,14 +127,22 @@
 	return sum
 }
 
-// richest returns the router that has lately told of the largest balance.
-func (s *share) richest(now time.Time) (address string, best peerBalance) {
-	for a, p := range s.peers {
-		if now.Sub(p.at) <= balanceLasts && p.tokens > best.tokens {
-			address, best = a, p
+// lender is another router and what it has told to hold.
+type lender struct {
+	address string
+	tokens  int64
+}
+
+// richest returns the routers that have lately told of a balance, the largest first.
+func (s *share) richest(now time.Time) []lender {
+	var out []lender
+	for address, p := range s.peers {
+		if p.tokens > 0 && now.Sub(p.at) <= balanceLasts {
+			out = append(out, lender{address: address, tokens: p.tokens})
 		}
 	}
-	return address, best
+	slices.SortFunc(out, func(a, b lender) int { return cmp.Compare(b.tokens, a.tokens) })
+	return out
 }
 
 func (s *share) wake() {
--- a/budget/strand_test.go
+++ b/budget/strand_test.go
@@ -81,7 +81,7 @@
 			}
 			for _, i := range all {
 				if m.wallets[i] != w {
-					m.wallets[i].TakeBalances(w.Address, 1, w.Balances())
+					m.wallets[i].TakeBalances(w.Address, w.Balances())
 				}
 			}
 		}
--- a/peer/loads.go
+++ b/peer/loads.go
@@ -38,7 +38,7 @@
 			return nil
 		case <-m.changed:
 		}
-		r := &wire.TellRequest{Vm: m.Nodes.Self.Address, Incarnation: m.Nodes.Incarnation(), Loads: m.loadStates()}
+		r := &wire.TellRequest{Vm: m.Nodes.Self.Address, Loads: m.loadStates()}
 		var all sync.WaitGroup
 		for _, address := range draw(m.Nodes.Routers(time.Now()), fanOut) {
 			all.Go(func() { m.tellLoads(ctx, address, r) })
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -41,7 +41,7 @@
 	// Balances returns the unspent shares of this router.
 	Balances() []*wire.BalanceState
 	// TakeBalances notes those of another router.
-	TakeBalances(address string, incarnation int64, all []*wire.BalanceState)
+	TakeBalances(address string, all []*wire.BalanceState)
 	// Donate hands a part of a share to another router.
 	Donate(r *wire.TransferRequest) *wire.TransferReply
 	// Accept takes what a stopping router hands over.
@@ -194,7 +194,7 @@
 
 func (m *Mesh) request(news []*wire.EndpointState) *wire.TellRequest {
 	r := &wire.TellRequest{
-		Vm: m.Nodes.Self.Address, Incarnation: m.Nodes.Incarnation(), Nodes: m.Nodes.Some(someNodes), Endpoints: news,
+		Vm: m.Nodes.Self.Address, Nodes: m.Nodes.Some(someNodes), Endpoints: news,
 	}
 	if m.Budgets != nil {
 		r.Balances = m.Budgets.Balances()
@@ -259,7 +259,7 @@
 		}
 	}
 	if m.Budgets != nil && len(r.GetBalances()) > 0 {
-		m.Budgets.TakeBalances(r.GetVm(), r.GetIncarnation(), r.GetBalances())
+		m.Budgets.TakeBalances(r.GetVm(), r.GetBalances())
 	}
 	reply := &wire.TellReply{}
 	if m.Site != nil && r.GetWantsSite() {
@@ -288,7 +288,7 @@
 	if m.Budgets != nil {
 		m.Budgets.Accept(r)
 	}
-	return &wire.GiveReply{Incarnation: m.Nodes.Incarnation()}, nil
+	return &wire.GiveReply{}, nil
 }
 
 // AskTransfer asks another router for a part of its share.
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -85,11 +85,13 @@
 	later.Round(now)
 	a.Merge(later.States(), now.Add(time.Hour))
 	require.Len(t, a.Living(now.Add(time.Hour)), 1, "the later process is alive to the others")
-	require.Equal(t, 1, a.CountRouters(now.Add(time.Hour)))
-	require.Zero(t, a.CountRouters(now.Add(2*time.Hour)))
+	a.Round(now.Add(time.Hour))
+	require.Equal(t, 1, a.LivingRouters())
+	a.Round(now.Add(2 * time.Hour))
+	require.Zero(t, a.LivingRouters())
 	require.Len(t, a.SilentRouters(now.Add(2*time.Hour)), 1)
 	require.Equal(t, 2, joined)
-	require.Equal(t, later.Incarnation(), a.Living(now.Add(time.Hour))[0].Incarnation)
+	require.Equal(t, int64(2_001), a.Living(now.Add(time.Hour))[0].Incarnation)
 }
 
 // TestShortestTrip: of a round only the shortest trip is passed on, and none where
--- a/peer/nodes.go
+++ b/peer/nodes.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"buckthornpin/wire"
@@ -34,9 +35,10 @@
 	// Joined is called with processes that are new or started again, if set.
 	Joined func(n Node)
 
-	mu    sync.Mutex
-	beat  int64
-	known map[string]*Node
+	mu      sync.Mutex
+	beat    int64
+	known   map[string]*Node
+	routers atomic.Int64
 }
 
 // Merge takes what another process tells.
@@ -84,24 +86,22 @@
 	}
 }
 
-// Incarnation returns this process's incarnation.
-func (n *Nodes) Incarnation() int64 {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.Self.Incarnation
-}
-
-// Round raises this process's beat and forgets processes that have been silent
-// for long.
+// Round raises this process's beat, forgets processes that have been silent for long
+// and counts the living routers.
 func (n *Nodes) Round(now time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.beat++
+	routers := int64(0)
 	for address, k := range n.known {
 		if now.Sub(k.HeardAt) > n.ForgetAfter {
 			delete(n.known, address)
 		}
+		if !k.Control && n.lives(k, now) {
+			routers++
+		}
 	}
+	n.routers.Store(routers)
 }
 
 // SetStopping tells the others that this process is about to end.
@@ -154,21 +154,12 @@
 
 // SilentRouters returns the known routers that don't count as living.
 func (n *Nodes) SilentRouters(now time.Time) []Node {
-	return n.pick(func(k *Node) bool { return !k.Control && now.Sub(k.HeardAt) > n.AliveFor })
+	return n.pick(func(k *Node) bool { return !k.Control && !n.lives(k, now) })
 }
 
-// CountRouters counts the living routers besides this process.
-func (n *Nodes) CountRouters(now time.Time) int {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	count := 0
-	for _, k := range n.known {
-		if !k.Control && now.Sub(k.HeardAt) <= n.AliveFor {
-			count++
-		}
-	}
-	return count
-}
+// LivingRouters returns the number of living routers besides this process at the last
+// round. It is asked for each request.
+func (n *Nodes) LivingRouters() int { return int(n.routers.Load()) }
 
 // Controls returns the known control processes, ordered by address, also silent
 // ones: control is asked wherever it may be.
@@ -182,9 +173,11 @@
 }
 
 func (n *Nodes) living(now time.Time, ok func(k *Node) bool) []Node {
-	return n.pick(func(k *Node) bool { return ok(k) && now.Sub(k.HeardAt) <= n.AliveFor })
+	return n.pick(func(k *Node) bool { return ok(k) && n.lives(k, now) })
 }
 
+func (n *Nodes) lives(k *Node, now time.Time) bool { return now.Sub(k.HeardAt) <= n.AliveFor }
+
 func (n *Nodes) pick(ok func(k *Node) bool) []Node {
 	n.mu.Lock()
 	defer n.mu.Unlock()
