--- a/integ/fleet_caller_test.go
+++ b/integ/fleet_caller_test.go
@@ -13,6 +13,10 @@
 	"time"
 
 	"github.com/google/uuid"
+
+	platf "buckthornpin/platform"
+	"buckthornpin/relay"
+	"buckthornpin/route"
 )
 
 // execution is one request that an endpoint began to work on.
@@ -148,15 +152,13 @@
 		return
 	}
 	r.Host = fleetHost
-	r.Header.Set("Attempt-Id", a.id)
-	r.Header.Set("Api-Key", "key-"+c.organisation)
-	r.Header.Set("Deadline-Ms", "4000")
+	q := relay.Request{ID: a.id, Key: "key-" + c.organisation, Deadline: a.began.Add(4 * time.Second)}
 	if a.kind == "chat" || a.kind == "resume" {
-		part := c.random.IntN(4)
-		r.Header.Set("Model", "m")
-		r.Header.Set("Token-Count", fmt.Sprintf("%d,%d", promptTokens, outputTokens))
-		r.Header.Set("Prompt-Prefix", fmt.Sprintf("%x:150,%x:50", part, c.random.Uint64()))
+		q.Prompt = relay.Prompt{Tokens: promptTokens, MaxOutput: outputTokens, Parts: []route.Part{
+			{ID: strconv.Itoa(c.random.IntN(4)), Tokens: 150}, {ID: strconv.FormatUint(c.random.Uint64(), 16), Tokens: 50},
+		}}
 	}
+	platf.EncodeRequest(r.Header, q)
 	res, err := c.http.Do(r)
 	if err != nil {
 		a.detail = err.Error()
@@ -170,20 +172,19 @@
 	if res.Close || err != nil {
 		c.router = nil
 	}
-	if s, err := strconv.ParseFloat(res.Header.Get("Retry-After"), 64); err == nil {
-		a.retryAfter = time.Duration(s * float64(time.Second))
-	}
-	a.judge(string(data), res.Header)
+	answer := platf.DecodeCallerAnswer(res.Header)
+	a.retryAfter = answer.RetryAfter
+	a.judge(string(data), answer)
 }
 
 // judge compares an answer with what the endpoint gave.
-func (a *attempt) judge(body string, h http.Header) {
+func (a *attempt) judge(body string, answer platf.CallerAnswer) {
 	if a.status != http.StatusOK {
 		a.detail = body
 		return
 	}
-	if h.Get("Attempt-Id") != a.id || h.Get("Server-Seal") != seal(a.id) {
-		a.wrong = "answer of another request: " + h.Get("Attempt-Id")
+	if answer.ID != a.id || answer.Signature != signature(a.id) {
+		a.wrong = "answer of another request: " + answer.ID
 		return
 	}
 	want := plainAnswer(a.id)
--- a/integ/fleet_engine_test.go
+++ b/integ/fleet_engine_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -14,6 +13,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"buckthornpin"
+	platf "buckthornpin/platform"
 )
 
 // engine stands in for an endpoint of the platform. It keeps no state over a crash.
@@ -111,16 +113,11 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.sequence++
-	state := "ready"
-	if e.leaving {
-		state = "draining"
-	}
-	body, err := json.Marshal(map[string]any{
-		"service": e.service, "address": e.address, "zone": "zone-1", "version": "v1", "slots": fleetSlots,
-		"state": state, "cold-remaining-ms": 0, "sequence": e.sequence, "born": e.born,
+	path, body = platf.EncodeHeartbeat(buckthornpin.Endpoint{
+		ID: e.id, Services: []string{e.service}, Address: e.address, Zone: "zone-1", Capacity: fleetSlots,
+		Incarnation: e.born, Sequence: e.sequence, Leaving: e.leaving,
 	})
-	require.NoError(e.fleet.t, err)
-	return "/buckthornpin/instances/" + e.id, body, e.server != nil
+	return path, body, e.server != nil
 }
 
 func (e *engine) acknowledged() {
@@ -146,48 +143,47 @@
 
 // serve runs requests as the platform's endpoints do.
 func (e *engine) serve(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("Attempt-Id")
-	w.Header().Set("Attempt-Id", id)
-	if id == "" {
-		e.decline(w, http.StatusBadRequest)
+	q := platf.DecodeEndpointRequest(r.Header)
+	if q.ID == "" {
+		e.decline(w, q, http.StatusBadRequest)
 		return
 	}
-	if r.Header.Get("Expect-Instance") != e.id {
-		e.decline(w, http.StatusMisdirectedRequest)
+	if q.Endpoint != e.id {
+		e.decline(w, q, http.StatusMisdirectedRequest)
 		return
 	}
 	if e.running.Add(1) > fleetSlots {
 		e.running.Add(-1)
-		e.decline(w, http.StatusServiceUnavailable)
+		e.decline(w, q, http.StatusServiceUnavailable)
 		return
 	}
 	defer e.running.Add(-1)
-	e.fleet.view.ran(execution{id: id, engine: e, organisation: r.Header.Get("Tenant"), at: time.Now(), key: r.Header.Get("Api-Key")})
-	w.Header().Set("Server-Seal", seal(id))
+	e.fleet.view.ran(execution{id: q.ID, engine: e, organisation: q.Organisation, at: time.Now(), key: q.Key})
+	platf.EncodeEndpointAnswer(w.Header(), q.ID, signature(q.ID), false)
 	if n := e.grey.Load(); n > 0 && e.seen.Add(1)%n == 0 {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
 	if e.service == modelSvc {
-		e.stream(w, r, id)
+		e.stream(w, r, q)
 		return
 	}
 	timer := time.NewTimer(plainWork)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-		_, _ = w.Write([]byte(plainAnswer(id)))
+		_, _ = w.Write([]byte(plainAnswer(q.ID)))
 	case <-r.Context().Done():
 	}
 }
 
-func (e *engine) decline(w http.ResponseWriter, status int) {
-	w.Header().Set("Not-Executed", "1")
+func (e *engine) decline(w http.ResponseWriter, q platf.EndpointRequest, status int) {
+	platf.EncodeEndpointAnswer(w.Header(), q.ID, "", true)
 	w.WriteHeader(status)
 }
 
-func (e *engine) stream(w http.ResponseWriter, r *http.Request, id string) {
-	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+func (e *engine) stream(w http.ResponseWriter, r *http.Request, q platf.EndpointRequest) {
+	after, _ := strconv.Atoi(q.LastEvent)
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
 	tick := time.NewTicker(e.pace)
@@ -198,7 +194,7 @@
 			return
 		case <-tick.C:
 		}
-		if _, err := fmt.Fprint(w, eventText(id, i)); err != nil {
+		if _, err := fmt.Fprint(w, eventText(q.ID, i)); err != nil {
 			return
 		}
 		if http.NewResponseController(w).Flush() != nil {
@@ -207,7 +203,7 @@
 	}
 }
 
-func seal(id string) string { return "seal-" + id }
+func signature(id string) string { return "signed-" + id }
 
 func plainAnswer(id string) string {
 	return strings.Repeat(id+".", plainBody/len(id))
--- a/integ/fleet_test.go
+++ b/integ/fleet_test.go
@@ -250,7 +250,7 @@
 // interface, even ones through the platform's.
 func (f *fleet) putAt(v *vm, c sitecfg.Configuration) bool {
 	if c.Version%2 == 0 {
-		return f.call(f.ctx, v, http.MethodPut, "/buckthornpin/config", platf.EncodeConfiguration(c))
+		return f.call(f.ctx, v, http.MethodPut, platf.PathConfig, platf.EncodeConfiguration(c))
 	}
 	ctx, cancel := context.WithTimeout(f.ctx, 2*time.Second)
 	defer cancel()
@@ -276,7 +276,7 @@
 func (f *fleet) readBack(v *vm) (version int64, ok bool) {
 	ctx, cancel := context.WithTimeout(f.ctx, 2*time.Second)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+v.settings.Platform.ControlAddress+"/buckthornpin/config", nil)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+v.settings.Platform.ControlAddress+platf.PathConfig, nil)
 	if err != nil {
 		return 0, false
 	}
@@ -285,13 +285,12 @@
 		return 0, false
 	}
 	defer func() { _ = a.Body.Close() }()
-	var c struct {
-		Version int64 `json:"version"`
-	}
-	if a.StatusCode != http.StatusOK || json.NewDecoder(a.Body).Decode(&c) != nil {
+	document, err := io.ReadAll(a.Body)
+	if err != nil || a.StatusCode != http.StatusOK {
 		return 0, false
 	}
-	return c.Version, true
+	c, err := platf.DecodeConfiguration(document)
+	return c.Version, err == nil
 }
 
 // requireReadBack expects that a control VM shows what was acknowledged.
@@ -347,7 +346,7 @@
 	ctx, cancel := context.WithTimeout(ctx, balancerInterval)
 	defer cancel()
 	ok := false
-	if r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+v.settings.Platform.ReadyAddress+"/buckthornpin/readiness", nil); err == nil {
+	if r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+v.settings.Platform.ReadyAddress+platf.PathReady, nil); err == nil {
 		if a, err := operatorHTTP.Do(r); err == nil {
 			_, _ = io.Copy(io.Discard, a.Body)
 			_ = a.Body.Close()
