Log where a request's time goes, and what a router's link carries

Before: a line said how old a request was when it ended, not whether the time went before its headers, in its body, before its dispatch or at its endpoint; nothing told what a VM's link carried, and the link's wait of 0 looked like a free link. Now each line of a request has link_ms, body_ms, cover_ms, endpoint_ms and the how manieth request of its connection it is; once a second a busy link logs its bytes in each direction, its wait, the age of that measure and the rounds of the mesh without any reply. Metrics link, traffic (all connections, before: those between processes) and caller_connections. Counted connections keep their half close and their descriptor, or a refusal would be lost with the unread body and idle connections not be checked. No decision changes. Tests: conn/callers_test.go.

--- a/app/fleet.go
+++ b/app/fleet.go
@@ -73,6 +73,7 @@
 	router    *relay.Router
 	pool      *conn.Pool
 	dialed    expvar.Int
+	callers   conn.Callers
 	draining  atomic.Bool
 	started   time.Time
 	metrics   *expvar.Map
@@ -109,7 +110,7 @@
 	p := f.Settings.Platform
 	contact := time.Duration(p.Contact)
 	f.dialer = &conn.Dialer{SilentAfter: contact / 2, Traffic: &conn.Traffic{}, Via: vias(f.Settings)}
-	f.metrics.Set("internal", f.dialer.Traffic.Metrics())
+	f.metrics.Set("traffic", f.dialer.Traffic.Metrics())
 	f.nodes = &peer.Nodes{
 		Self: peer.Node{
 			VM: f.Settings.VM, Zone: f.Settings.Zone, Address: p.MeshAddress(),
@@ -200,10 +201,14 @@
 	}
 	f.pool = &conn.Pool{
 		DialTimeout: time.Duration(p.Contact) / 3, SilentAfter: time.Duration(p.Contact), Dialed: func() { f.dialed.Add(1) },
+		Traffic: f.dialer.Traffic,
+	}
+	guard := &relay.Guard{
+		LinkBytes: p.LinkMbps * 1e6 / 8, NoticedAfter: balancerNotices, Traffic: f.dialer.Traffic, Connections: f.callers.Open, Log: f.Log,
 	}
 	f.router = &relay.Router{
 		Zone: f.Settings.Zone, Site: f.mirror.Table, Directory: f.directory, Endpoints: &platf.Endpoints{Pool: f.pool},
-		Funds: f.wallet, Loads: f.mesh, Log: f.Log, Guard: &relay.Guard{LinkBytes: p.LinkMbps * 1e6 / 8, NoticedAfter: balancerNotices},
+		Funds: f.wallet, Loads: f.mesh, Log: f.Log, Guard: guard,
 		Routers: f.routers,
 		Retries: &relay.Retries{
 			Ratio: p.RetryRatio, Slack: p.RetrySlack, Window: time.Duration(p.RetryWindow), Routers: f.routers,
@@ -214,9 +219,12 @@
 	f.mesh.Site = f.mirror
 	f.mesh.OwnLoads = f.router.OwnLoads
 	f.mesh.ShortestTrip = f.router.Guard.ObserveTrip
+	f.mesh.RoundEnded = f.router.Guard.ObserveRound
 	f.mesh.Crashes = f.crashes
 	f.mesh.TakeCrash = f.takeCrash
 	f.metrics.Set("router", f.router.Metrics())
+	f.metrics.Set("link", guard.LinkMetrics())
+	f.metrics.Set("caller_connections", f.callers.Metrics())
 	f.metrics.Set("budget", f.wallet.Metrics())
 	f.metrics.Set("endpoint_connections", &f.dialed)
 }
--- a/app/fleet_servers.go
+++ b/app/fleet_servers.go
@@ -43,7 +43,7 @@
 		if err != nil {
 			return nil, &Error{Op: "listen", Kind: KindSetup, Err: err}
 		}
-		parts = append(parts, part{s.name, f.serve(l, s.server)})
+		parts = append(parts, part{s.name, f.serve(f.dialer.Traffic.Listener(l), s.server)})
 	}
 	return parts, nil
 }
@@ -61,6 +61,7 @@
 	if f.router != nil {
 		ingress := &platf.Ingress{Router: f, MaxBodyBytes: f.maxBody}
 		front := &http.Server{Handler: ingress, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdle, MaxHeaderBytes: callerHeaderBytes}
+		f.callers.Watch(front)
 		out = append(out, servedAddress{"callers", p.CallerAddress, front})
 		out = append(out, servedAddress{"ready", p.ReadyAddress, &http.Server{Handler: platf.ReadyHandler(f.Ready), ReadHeaderTimeout: callerHeaderTimeout}})
 	} else {
--- /dev/null
+++ b/conn/callers_test.go
@@ -0,0 +1,61 @@
+package conn
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// countedServer serves on loopback with its connections and bytes counted.
+func countedServer(t *testing.T, h http.HandlerFunc) (url string, callers *Callers, traffic *Traffic) {
+	t.Helper()
+	callers, traffic = &Callers{}, &Traffic{}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := &http.Server{Handler: h} //nolint:gosec // a test's server.
+	callers.Watch(s)
+	go func() { _ = s.Serve(traffic.Listener(l)) }()
+	t.Cleanup(func() { _ = s.Close() })
+	return "http://" + l.Addr().String(), callers, traffic
+}
+
+// TestCallersCountRequests: a connection knows how many requests it has carried, and
+// the server how many connections are open.
+func TestCallersCountRequests(t *testing.T) {
+	url, callers, traffic := countedServer(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = fmt.Fprint(w, CountRequest(r.Context()).Requests)
+	})
+	for n := range 3 {
+		r, err := http.Get(url) //nolint:gosec,noctx // a test's server.
+		require.NoError(t, err)
+		body, err := io.ReadAll(r.Body)
+		require.NoError(t, err)
+		require.NoError(t, r.Body.Close())
+		require.Equal(t, fmt.Sprint(n+1), string(body))
+	}
+	require.Equal(t, int64(1), callers.Open())
+	require.Positive(t, traffic.In())
+	require.Positive(t, traffic.Out())
+}
+
+// TestCountedConnectionEndsInOneDirection: the answer to a request whose body isn't
+// read reaches the caller: the connection is half closed before it is closed.
+func TestCountedConnectionEndsInOneDirection(t *testing.T) {
+	url, _, _ := countedServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	c, err := net.Dial("tcp", strings.TrimPrefix(url, "http://")) //nolint:noctx // a test's server.
+	require.NoError(t, err)
+	defer func() { _ = c.Close() }()
+	_, err = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\nabc")
+	require.NoError(t, err)
+	answer, err := io.ReadAll(c)
+	require.NoError(t, err)
+	require.Contains(t, string(answer), "503")
+}
--- a/conn/exchange.go
+++ b/conn/exchange.go
@@ -88,6 +88,7 @@
 func (l *Link) write(head, body []byte) error {
 	if len(head)+len(body) <= aloneBytes {
 		n, err := l.Write(append(head, body...))
+		l.pool.wrote(int64(n))
 		if err != nil && n == 0 {
 			return errors.Join(ErrNotSent, err)
 		}
@@ -96,7 +97,8 @@
 	l.written = make(chan error, 1)
 	go func() {
 		buffers := net.Buffers{head, body}
-		_, err := buffers.WriteTo(l.Conn)
+		n, err := buffers.WriteTo(l.Conn)
+		l.pool.wrote(n)
 		l.written <- err
 	}()
 	return nil
--- a/conn/pool.go
+++ b/conn/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -23,6 +24,8 @@
 	SilentAfter time.Duration
 	// Dialed counts new connections, if set.
 	Dialed func()
+	// Traffic counts the connections' bytes, if set.
+	Traffic *Traffic
 
 	mu   sync.Mutex
 	idle map[string][]*Link
@@ -98,7 +101,22 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Link{Conn: c, pool: p, address: address, br: bufio.NewReaderSize(c, exchangeBuffer)}, nil
+	return &Link{Conn: c, pool: p, address: address, br: bufio.NewReaderSize(p.counted(c), exchangeBuffer)}, nil
+}
+
+// counted returns the reading side of a connection.
+func (p *Pool) counted(c net.Conn) io.Reader {
+	if p.Traffic == nil {
+		return c
+	}
+	return countedReader{Reader: c, traffic: p.Traffic}
+}
+
+// wrote counts bytes that were written.
+func (p *Pool) wrote(n int64) {
+	if p.Traffic != nil {
+		p.Traffic.out.Add(n)
+	}
 }
 
 // probeCount is how many keep-alive probes may stay without an answer.
--- a/conn/traffic.go
+++ b/conn/traffic.go
@@ -2,7 +2,11 @@
 
 import (
 	"expvar"
+	"io"
 	"net"
+	"syscall"
+
+	"github.com/go-faster/errors"
 )
 
 // Traffic counts the bytes of connections since the process started.
@@ -18,6 +22,12 @@
 	return m
 }
 
+// In returns the bytes that have come in.
+func (t *Traffic) In() int64 { return t.in.Value() }
+
+// Out returns the bytes that have gone out.
+func (t *Traffic) Out() int64 { return t.out.Value() }
+
 // Listener returns a listener whose connections are counted.
 func (t *Traffic) Listener(l net.Listener) net.Listener {
 	return &countedListener{Listener: l, traffic: t}
@@ -42,6 +52,23 @@
 	traffic *Traffic
 }
 
+// CloseWrite ends the connection in one direction, as net/http does before it closes
+// a connection whose request it hasn't read.
+func (c *countedConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// SyscallConn implements syscall.Conn.
+func (c *countedConn) SyscallConn() (syscall.RawConn, error) {
+	if raw, ok := c.Conn.(syscall.Conn); ok {
+		return raw.SyscallConn()
+	}
+	return nil, errors.New("connection has no descriptor")
+}
+
 // Read implements net.Conn.
 func (c *countedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
@@ -55,3 +82,16 @@
 	c.traffic.out.Add(int64(n))
 	return n, err
 }
+
+// countedReader counts what is read from a connection that is written elsewhere.
+type countedReader struct {
+	io.Reader
+	traffic *Traffic
+}
+
+// Read implements io.Reader.
+func (r countedReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	r.traffic.in.Add(int64(n))
+	return n, err
+}
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -80,7 +80,10 @@
 	// ShortestTrip is called with the shortest round trip of each round in which
 	// another process answered, and the time of its end, if set.
 	ShortestTrip func(d time.Duration, now time.Time)
-	Log          zerolog.Logger
+	// RoundEnded is called with the number of processes that a round asked and of
+	// those that answered, if set.
+	RoundEnded func(asked, answered int)
+	Log        zerolog.Logger
 
 	// changed tells that a load has changed that others should know at once.
 	changed chan struct{}
@@ -129,6 +132,9 @@
 	}
 	all.Wait()
 	close(trips)
+	if m.RoundEnded != nil {
+		m.RoundEnded(len(targets), len(trips))
+	}
 	m.noteTrips(trips)
 }
 
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -31,7 +31,9 @@
 	}
 	sendCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	f.sentAt, f.headAt = time.Now(), time.Time{}
 	a, err := f.router.Endpoints.Send(sendCtx, f.dispatch(e))
+	f.headAt = time.Now()
 	if err != nil {
 		f.failed(ctx, e, err)
 		return false
@@ -160,8 +162,8 @@
 
 // log begins a line on a decision about the request.
 func (f *flight) log(outcome string) *zerolog.Event {
-	l := f.router.Log.Info().Str("request", f.request.ID).Str("outcome", outcome).
-		Int64("age_ms", time.Since(f.request.Arrived).Milliseconds()).Int("sent", f.sent)
+	l := f.stages(f.router.Log.Info().Str("request", f.request.ID).Str("outcome", outcome).
+		Int64("age_ms", time.Since(f.request.Arrived).Milliseconds()).Int("sent", f.sent))
 	if f.table != nil {
 		l = l.Int64("version", f.table.Version)
 	}
@@ -174,5 +176,23 @@
 	return l
 }
 
+// stages adds where the request's time went: on the link as far as it is known, until
+// the body was read, until the newest attempt began, and until its answer began.
+func (f *flight) stages(l *zerolog.Event) *zerolog.Event {
+	q := f.request
+	if q.HeadRead.IsZero() {
+		return l
+	}
+	l = l.Int64("link_ms", q.HeadRead.Sub(q.Arrived).Milliseconds()).Int64("body_ms", q.BodyRead.Sub(q.HeadRead).Milliseconds()).
+		Int64("nth", q.Connection.Requests)
+	if !f.sentAt.IsZero() {
+		l = l.Int64("cover_ms", f.sentAt.Sub(q.BodyRead).Milliseconds())
+	}
+	if !f.headAt.IsZero() {
+		l = l.Int64("endpoint_ms", f.headAt.Sub(f.sentAt).Milliseconds())
+	}
+	return l
+}
+
 // errPartial is a stream that ended within an event.
 var errPartial = errors.New("stream ended within an event")
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -34,6 +34,9 @@
 	current *route.Run
 	others  route.Load
 	firstAt time.Time
+	// sentAt is when the newest attempt began, headAt when the head of its answer had
+	// come, zero before.
+	sentAt, headAt time.Time
 }
 
 // eventCount is what a stream has delivered.
--- a/relay/guard.go
+++ b/relay/guard.go
@@ -5,6 +5,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/rs/zerolog"
 )
 
 const (
@@ -36,6 +38,11 @@
 	// NoticedAfter is the time in which the balancer finds that a VM takes no new
 	// connections. What was seen of the link counts for as long.
 	NoticedAfter time.Duration
+	// Traffic counts what the link carries; nil if that isn't counted.
+	Traffic Traffic
+	// Connections returns the number of callers' connections, if set.
+	Connections func() int64
+	Log         zerolog.Logger
 
 	lag atomic.Int64
 	mu  sync.Mutex
@@ -47,6 +54,7 @@
 	// trip is the round trip at tripAt.
 	trip   time.Duration
 	tripAt time.Time
+	use    linkUse
 }
 
 // Run measures how late this process gets the processor until ctx ends.
@@ -62,6 +70,7 @@
 		case <-timer.C:
 		}
 		g.observe(time.Since(due))
+		g.report(g.Log, time.Now())
 	}
 }
 
--- a/relay/request.go
+++ b/relay/request.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"buckthornpin"
+	"buckthornpin/conn"
 	"buckthornpin/route"
 )
 
@@ -32,6 +33,10 @@
 	// Arrived is when the request reached this VM's link; its headers may have been
 	// read later.
 	Arrived time.Time
+	// HeadRead and BodyRead are when the process had read the headers and the body.
+	HeadRead, BodyRead time.Time
+	// Connection is what the caller's connection has carried.
+	Connection conn.Use
 	// Deadline is when the caller stops waiting; zero where it doesn't say.
 	Deadline time.Time
 }
