--- a/conn/pool.go
+++ b/conn/pool.go
@@ -26,6 +26,8 @@
 	Dialed func()
 	// Traffic counts the connections' bytes, if set.
 	Traffic *Traffic
+	// Dial opens a connection; nil is TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 
 	mu   sync.Mutex
 	idle map[string][]*Link
@@ -97,13 +99,22 @@
 	if p.Dialed != nil {
 		p.Dialed()
 	}
-	c, err := (&net.Dialer{Timeout: p.DialTimeout, KeepAliveConfig: probes(p.SilentAfter), Control: userTimeout(p.SilentAfter)}).DialContext(ctx, "tcp", address)
+	ctx, cancel := context.WithTimeout(ctx, p.DialTimeout)
+	defer cancel()
+	c, err := p.open(ctx, address)
 	if err != nil {
 		return nil, err
 	}
 	return &Link{Conn: c, pool: p, address: address, br: bufio.NewReaderSize(p.counted(c), exchangeBuffer)}, nil
 }
 
+func (p *Pool) open(ctx context.Context, address string) (net.Conn, error) {
+	if p.Dial != nil {
+		return p.Dial(ctx, address)
+	}
+	return (&net.Dialer{KeepAliveConfig: probes(p.SilentAfter), Control: userTimeout(p.SilentAfter)}).DialContext(ctx, "tcp", address)
+}
+
 // counted returns the reading side of a connection.
 func (p *Pool) counted(c net.Conn) io.Reader {
 	if p.Traffic == nil {
