Measure the wait on a full link also while no reply comes back

Cause: the guard learned of its link only from round trips that came back within 800 ms, and halved them. With a longer queue none came back: after 2.3 s the wait counted as 0, requests were admitted as if they had just been sent, readiness came back and the queue grew. Ruled out: processor (lag 1 ms), budget and choice (cover_ms median 0), bodies (body_ms median 0), a link shared by both directions (9.4 Mbit/s in and 9.0 out in one second). Class: a measure of load that is taken only from what succeeds. Now a round of the mesh without an answer counts as a wait of its age while the link is busy (silence on an idle link is a cut); replies count however late, up to the time after which a silent process isn't living; the whole trip counts, since a request waits on its way in and its answer on its way out, however the trip is shared between them. TestGuardOnALinkThatDelays expected the half and now the whole trip, as strictly. Also now: TestGuardOnALinkThatAnswersNobody.

--- a/app/fleet.go
+++ b/app/fleet.go
@@ -219,7 +219,7 @@
 	f.mesh.Site = f.mirror
 	f.mesh.OwnLoads = f.router.OwnLoads
 	f.mesh.ShortestTrip = f.router.Guard.ObserveTrip
-	f.mesh.RoundEnded = f.router.Guard.ObserveRound
+	f.mesh.RoundBegan = f.router.Guard.ObserveRound
 	f.mesh.Crashes = f.crashes
 	f.mesh.TakeCrash = f.takeCrash
 	f.metrics.Set("router", f.router.Metrics())
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -32,8 +32,9 @@
 	// meshCompareRounds is the number of rounds between two comparisons of
 	// digests.
 	meshCompareRounds = 8
-	// tellTimeout bounds one exchange.
-	tellTimeout = 800 * time.Millisecond
+	// roundTimeout bounds how long a round waits for replies before the next one.
+	// Replies that come later count all the same.
+	roundTimeout = 2 * MeshInterval
 )
 
 // Budgets is a router's part of the budgets, as other routers see it.
@@ -77,13 +78,12 @@
 	Budgets  Budgets
 	Site     Site
 	OwnLoads func() map[string]route.Load
+	// RoundBegan is called when a round has asked others, if set.
+	RoundBegan func(now time.Time)
 	// ShortestTrip is called with the shortest round trip of each round in which
-	// another process answered, and the time of its end, if set.
+	// another process answered, when that answer has come, if set.
 	ShortestTrip func(d time.Duration, now time.Time)
-	// RoundEnded is called with the number of processes that a round asked and of
-	// those that answered, if set.
-	RoundEnded func(asked, answered int)
-	Log        zerolog.Logger
+	Log          zerolog.Logger
 
 	// changed tells that a load has changed that others should know at once.
 	changed chan struct{}
@@ -114,7 +114,7 @@
 	targets := m.targets(now)
 	request := m.request(m.Directory.News())
 	alone := len(m.Nodes.Controls()) == 0
-	trips := make(chan time.Duration, len(targets))
+	first := m.firstReply(len(targets))
 	var all sync.WaitGroup
 	for i, address := range targets {
 		r := request
@@ -124,31 +124,44 @@
 			r.Digest = m.Directory.Digest()
 		}
 		all.Go(func() {
-			sent := time.Now()
 			if m.tell(ctx, address, r) {
-				trips <- time.Since(sent)
+				first()
 			}
 		})
 	}
-	all.Wait()
-	close(trips)
-	if m.RoundEnded != nil {
-		m.RoundEnded(len(targets), len(trips))
-	}
-	m.noteTrips(trips)
+	waitFor(&all, roundTimeout)
 }
 
-// noteTrips passes the shortest of a round's trips on: what all have in common is
-// this process's own link.
-func (m *Mesh) noteTrips(trips <-chan time.Duration) {
-	shortest := time.Duration(0)
-	for d := range trips {
-		if shortest == 0 || d < shortest {
-			shortest = d
-		}
+// firstReply notes that a round has asked others. It returns a function for each
+// reply, the first of which ends the round's shortest trip: what all trips have in
+// common is this process's own link.
+func (m *Mesh) firstReply(asked int) func() {
+	began := time.Now()
+	if asked > 0 && m.RoundBegan != nil {
+		m.RoundBegan(began)
+	}
+	var once sync.Once
+	return func() {
+		once.Do(func() {
+			if m.ShortestTrip != nil {
+				m.ShortestTrip(time.Since(began), time.Now())
+			}
+		})
 	}
-	if shortest > 0 && m.ShortestTrip != nil {
-		m.ShortestTrip(shortest, time.Now())
+}
+
+// waitFor waits until all have ended, but no longer than d.
+func waitFor(all *sync.WaitGroup, d time.Duration) {
+	ended := make(chan struct{})
+	go func() {
+		all.Wait()
+		close(ended)
+	}()
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ended:
+	case <-t.C:
 	}
 }
 
@@ -215,10 +228,11 @@
 	return r
 }
 
-// tell tells one process and reports whether it answered. Where the digests differ
-// each side tells the other all that it knows.
+// tell tells one process and reports whether it answered: within the time for which a
+// silent process counts as living, since a full link delays replies by seconds. Where
+// the digests differ each side tells the other all that it knows.
 func (m *Mesh) tell(ctx context.Context, address string, r *wire.TellRequest) bool {
-	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+	ctx, cancel := context.WithTimeout(ctx, m.Nodes.AliveFor)
 	defer cancel()
 	reply, err := m.client(address).Tell(ctx, r)
 	if err != nil {
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -94,22 +95,29 @@
 	require.Equal(t, int64(2_001), a.Living(now.Add(time.Hour))[0].Incarnation)
 }
 
-// TestShortestTrip: of a round only the shortest trip is passed on, and none where
-// nobody answers.
+// TestShortestTrip: of a round only the shortest trip is passed on, when its reply
+// comes, and none where nobody answers.
 func TestShortestTrip(t *testing.T) {
-	var got []time.Duration
-	m := &Mesh{ShortestTrip: func(d time.Duration, _ time.Time) { got = append(got, d) }}
-	note := func(all ...time.Duration) {
-		trips := make(chan time.Duration, len(all))
-		for _, d := range all {
-			trips <- d
+	synctest.Test(t, func(t *testing.T) {
+		var got []time.Duration
+		var rounds int
+		m := &Mesh{
+			ShortestTrip: func(d time.Duration, _ time.Time) { got = append(got, d) },
+			RoundBegan:   func(time.Time) { rounds++ },
 		}
-		close(trips)
-		m.noteTrips(trips)
-	}
-	note(30*time.Millisecond, 4*time.Millisecond, 900*time.Millisecond)
-	note()
-	require.Equal(t, []time.Duration{4 * time.Millisecond}, got)
+		replied := m.firstReply(3)
+		time.Sleep(4 * time.Millisecond)
+		replied()
+		require.Equal(t, []time.Duration{4 * time.Millisecond}, got)
+		time.Sleep(26 * time.Millisecond)
+		replied()
+		time.Sleep(870 * time.Millisecond)
+		replied()
+		m.firstReply(3)
+		m.firstReply(0)
+		require.Equal(t, []time.Duration{4 * time.Millisecond}, got)
+		require.Equal(t, 2, rounds, "a round that asks nobody tells nothing")
+	})
 }
 
 // TestOthersSumsUpLoads: a router's newest word replaces its earlier one, and what
--- a/relay/guard.go
+++ b/relay/guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,10 +17,6 @@
 	// lagShare is the part of a route's objective that the wait for the processor
 	// may take before requests are turned away to other routers.
 	lagShare = 8
-	// waitShare is the same for the wait on the link. It is larger: a request that is
-	// read has waited already, and its body comes in any case; turned away are only
-	// those whose answers would wait beyond the objective as well.
-	waitShare = 2
 	// fullWait is the wait on the link from which on a VM takes no new connections:
 	// a quarter of the second that callers wait for one.
 	fullWait = 250 * time.Millisecond
@@ -51,9 +48,11 @@
 	spentAt time.Time
 	// fullAt is when a body last was more than the link carries.
 	fullAt time.Time
-	// trip is the round trip at tripAt.
+	// trip is the round trip at tripAt, asked when rounds began that nobody has
+	// answered yet.
 	trip   time.Duration
 	tripAt time.Time
+	asked  []time.Time
 	use    linkUse
 }
 
@@ -70,7 +69,7 @@
 		case <-timer.C:
 		}
 		g.observe(time.Since(due))
-		g.report(g.Log, time.Now())
+		g.report(time.Now())
 	}
 }
 
@@ -83,29 +82,55 @@
 // Lag returns how late the process gets the processor.
 func (g *Guard) Lag() time.Duration { return time.Duration(g.lag.Load()) }
 
+// ObserveRound takes when a round of the mesh asked other processes.
+func (g *Guard) ObserveRound(began time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.asked) == maxAsked {
+		g.asked = append(g.asked[:0], g.asked[1:]...)
+	}
+	g.asked = append(g.asked, began)
+}
+
+// maxAsked bounds the rounds without an answer that are remembered.
+const maxAsked = 64
+
 // ObserveTrip takes the shortest round trip to other processes, as each round of the
 // mesh finds it. A rise counts at once, a fall by halves.
 func (g *Guard) ObserveTrip(d time.Duration, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.trip, g.tripAt = max(d, g.recentTrip(now)/2), now
+	began := now.Add(-d)
+	g.asked = slices.DeleteFunc(g.asked, func(at time.Time) bool { return !at.After(began) })
+	g.trip, g.tripAt = max(d, g.lastTrip(now)/2), now
 }
 
-// recentTrip returns the round trip, 0 if it was long ago: a router that is cut off
-// from the others learns nothing of its link from them. The caller holds mu.
-func (g *Guard) recentTrip(now time.Time) time.Duration {
+// lastTrip returns the newest round trip, 0 if it was long ago. The caller holds mu.
+func (g *Guard) lastTrip(now time.Time) time.Duration {
 	if now.Sub(g.tripAt) >= g.NoticedAfter {
 		return 0
 	}
 	return g.trip
 }
 
-// LinkWait returns how long bytes wait on the VM's link on their way in: half of the
-// shortest round trip, as bodies come in and go out in equal amounts.
+// recentTrip returns the round trip, which is at least as long as the oldest round
+// that later ones haven't overtaken is without an answer. Silence tells nothing of a
+// link that carries little: the router is cut off from the others then, and learns
+// nothing from them. The caller holds mu.
+func (g *Guard) recentTrip(now time.Time) time.Duration {
+	last := g.lastTrip(now)
+	if len(g.asked) == 0 || g.use.share(g.LinkBytes) < busyShare {
+		return last
+	}
+	return max(last, now.Sub(g.asked[0]))
+}
+
+// LinkWait returns how long a request and its answer wait on the VM's link together:
+// the round trip, however it is shared out between the link's two directions.
 func (g *Guard) LinkWait(now time.Time) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.recentTrip(now) / 2
+	return g.recentTrip(now)
 }
 
 // LinkFull reports whether the VM's link has lately been full, by what bodies take of
@@ -114,13 +139,13 @@
 func (g *Guard) LinkFull(now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.recentTrip(now)/2 > fullWait || !g.fullAt.IsZero() && now.Sub(g.fullAt) < g.NoticedAfter
+	return g.recentTrip(now) > fullWait || !g.fullAt.IsZero() && now.Sub(g.fullAt) < g.NoticedAfter
 }
 
 // Admits reports whether a request with a body of so many bytes and a latency
 // objective can be carried.
 func (g *Guard) Admits(bytes int64, objective time.Duration, now time.Time) bool {
-	late := objective > 0 && (g.Lag() > objective/lagShare || g.LinkWait(now) > objective/waitShare)
+	late := objective > 0 && (g.Lag() > objective/lagShare || g.LinkWait(now) > objective)
 	return !late && g.takeLink(float64(max(bytes, 0)), now)
 }
 
--- a/relay/guard_test.go
+++ b/relay/guard_test.go
@@ -82,15 +82,15 @@
 	require.False(t, g.LinkFull(now))
 
 	g.ObserveTrip(1600*time.Millisecond, now)
-	require.Equal(t, 800*time.Millisecond, g.LinkWait(now))
+	require.Equal(t, 1600*time.Millisecond, g.LinkWait(now), "a request and its answer wait the whole trip, in whichever direction")
 	require.False(t, g.Admits(1_000, 300*time.Millisecond, now))
 	require.True(t, g.LinkFull(now))
 
 	r := guarded(g, 0)
 	a := r.Admit("id", "h", "/x", 1_000, now)
 	require.False(t, a.Refused, "a route without an objective is only bound by its timeout")
-	require.Equal(t, now.Add(-800*time.Millisecond), a.Arrived)
-	require.Equal(t, now.Add(1200*time.Millisecond), a.BodyBy)
+	require.Equal(t, now.Add(-1600*time.Millisecond), a.Arrived)
+	require.Equal(t, now.Add(400*time.Millisecond), a.BodyBy)
 
 	for range 12 {
 		g.ObserveTrip(6*time.Millisecond, now)
@@ -111,3 +111,46 @@
 	g.ObserveTrip(6*time.Millisecond, now.Add(9*time.Second))
 	require.False(t, g.LinkFull(now.Add(9*time.Second)))
 }
+
+// carried is a link that has carried so many bytes.
+type carried struct{ in, out int64 }
+
+// In implements Traffic.
+func (c *carried) In() int64 { return c.in }
+
+// Out implements Traffic.
+func (c *carried) Out() int64 { return c.out }
+
+// TestGuardOnALinkThatAnswersNobody guards against a wait of 0 where it is longest: no
+// round trip comes back while the link is full. Silence counts as a wait as long as
+// the link is busy, and as a cut from the others if it isn't.
+func TestGuardOnALinkThatAnswersNobody(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		perSecond int64
+		wait      time.Duration
+		full      bool
+	}{
+		{"busy", 1_200_000, 3 * time.Second, true},
+		{"little to carry", 200_000, 0, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			link, now := &carried{}, time.Unix(1_000, 0)
+			g := &Guard{LinkBytes: 1_250_000, NoticedAfter: 2 * time.Second, Traffic: link, Log: zerolog.Nop()}
+			g.report(now)
+			g.ObserveRound(now)
+			g.ObserveTrip(6*time.Millisecond, now.Add(6*time.Millisecond))
+			for range 4 {
+				now = now.Add(time.Second)
+				link.in += c.perSecond
+				g.report(now)
+				g.ObserveRound(now)
+			}
+			require.Equal(t, c.wait, g.LinkWait(now))
+			require.Equal(t, c.full, g.LinkFull(now))
+
+			g.ObserveTrip(2*time.Second, now)
+			require.Equal(t, 2*time.Second, g.LinkWait(now), "a reply that comes late tells the wait, and later rounds are younger")
+		})
+	}
+}
