Correct the reproduction: its mesh answered nobody; forget rounds that are refused

The same runs showed a round counted as silent for ever whose processes all had refused at once: a round that ends without a reply is forgotten (RoundLost). Three known processes that are all gone would have looked like a full link.

--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -80,6 +80,8 @@
 	OwnLoads func() map[string]route.Load
 	// RoundBegan is called when a round has asked others, if set.
 	RoundBegan func(now time.Time)
+	// RoundLost is called when all that a round asked have failed, if set.
+	RoundLost func(began time.Time)
 	// ShortestTrip is called with the shortest round trip of each round in which
 	// another process answered, when that answer has come, if set.
 	ShortestTrip func(d time.Duration, now time.Time)
@@ -114,7 +116,7 @@
 	targets := m.targets(now)
 	request := m.request(m.Directory.News())
 	alone := len(m.Nodes.Controls()) == 0
-	first := m.firstReply(len(targets))
+	trip := m.beginTrip(len(targets))
 	var all sync.WaitGroup
 	for i, address := range targets {
 		r := request
@@ -125,38 +127,21 @@
 		}
 		all.Go(func() {
 			if m.tell(ctx, address, r) {
-				first()
+				trip.replied(m)
 			}
 		})
 	}
-	waitFor(&all, roundTimeout)
-}
-
-// firstReply notes that a round has asked others. It returns a function for each
-// reply, the first of which ends the round's shortest trip: what all trips have in
-// common is this process's own link.
-func (m *Mesh) firstReply(asked int) func() {
-	began := time.Now()
-	if asked > 0 && m.RoundBegan != nil {
-		m.RoundBegan(began)
-	}
-	var once sync.Once
-	return func() {
-		once.Do(func() {
-			if m.ShortestTrip != nil {
-				m.ShortestTrip(time.Since(began), time.Now())
-			}
-		})
-	}
-}
-
-// waitFor waits until all have ended, but no longer than d.
-func waitFor(all *sync.WaitGroup, d time.Duration) {
 	ended := make(chan struct{})
 	go func() {
 		all.Wait()
+		trip.ended(m)
 		close(ended)
 	}()
+	waitFor(ended, roundTimeout)
+}
+
+// waitFor waits for an end, but no longer than d.
+func waitFor(ended <-chan struct{}, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -96,27 +96,32 @@
 }
 
 // TestShortestTrip: of a round only the shortest trip is passed on, when its reply
-// comes, and none where nobody answers.
+// comes; a round in which all fail is told as lost.
 func TestShortestTrip(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var got []time.Duration
-		var rounds int
+		var began, lost []time.Time
 		m := &Mesh{
 			ShortestTrip: func(d time.Duration, _ time.Time) { got = append(got, d) },
-			RoundBegan:   func(time.Time) { rounds++ },
+			RoundBegan:   func(at time.Time) { began = append(began, at) },
+			RoundLost:    func(at time.Time) { lost = append(lost, at) },
 		}
-		replied := m.firstReply(3)
+		answered := m.beginTrip(3)
 		time.Sleep(4 * time.Millisecond)
-		replied()
+		answered.replied(m)
 		require.Equal(t, []time.Duration{4 * time.Millisecond}, got)
 		time.Sleep(26 * time.Millisecond)
-		replied()
+		answered.replied(m)
 		time.Sleep(870 * time.Millisecond)
-		replied()
-		m.firstReply(3)
-		m.firstReply(0)
+		answered.replied(m)
+		answered.ended(m)
+		require.Empty(t, lost)
+
+		m.beginTrip(3).ended(m)
+		m.beginTrip(0).ended(m)
 		require.Equal(t, []time.Duration{4 * time.Millisecond}, got)
-		require.Equal(t, 2, rounds, "a round that asks nobody tells nothing")
+		require.Len(t, began, 2, "a round that asks nobody tells nothing")
+		require.Equal(t, began[1:], lost)
 	})
 }
 
--- a/relay/full_link_test.go
+++ b/relay/full_link_test.go
@@ -122,7 +122,7 @@
 
 func (c *crowd) open(ctx context.Context) {
 	c.link = &stand.Link{BytesPerSecond: crowdLink}
-	others := []string{"peer-1", "peer-2", "peer-3"}
+	others := []string{"peer-1:80", "peer-2:80", "peer-3:80"}
 	for _, a := range others {
 		m := c.mesh(a, nil, others)
 		go func() { _ = m.Run(ctx) }()
@@ -130,7 +130,7 @@
 	m := c.mesh("router", c.link, others)
 	traffic := &conn.Traffic{}
 	c.guard = &relay.Guard{LinkBytes: crowdLink, NoticedAfter: crowdNotices, Traffic: traffic, Log: zerolog.Nop()}
-	m.ShortestTrip, m.RoundBegan = c.guard.ObserveTrip, c.guard.ObserveRound
+	m.ShortestTrip, m.RoundBegan, m.RoundLost = c.guard.ObserveTrip, c.guard.ObserveRound, c.guard.ForgetRound
 	for i := range 4 {
 		address := fmt.Sprint("endpoint-", i)
 		c.serve(address, nil, http.HandlerFunc(c.endpoint), false)
@@ -277,6 +277,7 @@
 		in := true
 		go c.balance(ctx, func(now bool) { c.mu.Lock(); in = now; c.mu.Unlock() })
 		time.Sleep(2 * time.Second)
+		require.Positive(t, c.guard.LinkWait(time.Now()), "the mesh answers")
 		var all sync.WaitGroup
 		n := 0
 		for _, p := range load {
--- a/relay/guard.go
+++ b/relay/guard.go
@@ -46,7 +46,7 @@
 	// spent are bytes of bodies beyond what the link has carried at spentAt.
 	spent   float64
 	spentAt time.Time
-	// fullAt is when a body last was more than the link carries.
+	// fullAt is when the link last carried as much as it should, or a body was more.
 	fullAt time.Time
 	// trip is the round trip at tripAt, asked when rounds began that nobody has
 	// answered yet.
@@ -69,7 +69,7 @@
 		case <-timer.C:
 		}
 		g.observe(time.Since(due))
-		g.report(time.Now())
+		g.watch(time.Now())
 	}
 }
 
@@ -92,6 +92,14 @@
 	g.asked = append(g.asked, began)
 }
 
+// ForgetRound takes when a round began whose processes have all refused or been silent
+// for too long: it tells nothing any more.
+func (g *Guard) ForgetRound(began time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.asked = slices.DeleteFunc(g.asked, func(at time.Time) bool { return at.Equal(began) })
+}
+
 // maxAsked bounds the rounds without an answer that are remembered.
 const maxAsked = 64
 
--- a/relay/guard_test.go
+++ b/relay/guard_test.go
@@ -137,13 +137,13 @@
 		t.Run(c.name, func(t *testing.T) {
 			link, now := &carried{}, time.Unix(1_000, 0)
 			g := &Guard{LinkBytes: 1_250_000, NoticedAfter: 2 * time.Second, Traffic: link, Log: zerolog.Nop()}
-			g.report(now)
+			g.watch(now)
 			g.ObserveRound(now)
 			g.ObserveTrip(6*time.Millisecond, now.Add(6*time.Millisecond))
 			for range 4 {
 				now = now.Add(time.Second)
 				link.in += c.perSecond
-				g.report(now)
+				g.watch(now)
 				g.ObserveRound(now)
 			}
 			require.Equal(t, c.wait, g.LinkWait(now))
--- a/relay/link.go
+++ b/relay/link.go
@@ -13,18 +13,45 @@
 // capacity in bytes, since their heads are as long.
 const busyShare = 0.5
 
+// fullShare is the part of the link's capacity from which on the VM takes no new
+// connections: a queue that is used more than that grows with every swing of the load.
+const fullShare = 1e9
+
 // Traffic counts the bytes that a VM's link has carried since the process started.
 type Traffic interface {
 	In() int64
 	Out() int64
 }
 
-// linkUse is what the link carried in the last full second.
+// linkUse is what the link has carried lately.
 type linkUse struct {
+	// samples of the counters go back by useWindow.
+	samples []linkSample
+	// inRate and outRate are bytes per second over the samples.
+	inRate, outRate float64
+	reportedAt      time.Time
+}
+
+type linkSample struct {
 	at      time.Time
 	in, out int64
-	// inRate and outRate are bytes per second.
-	inRate, outRate float64
+}
+
+// useWindow is the time over which the link's use is measured: long against single
+// bodies, short against the balancer's checks.
+const useWindow = time.Second
+
+// sample reads the counters.
+func (u *linkUse) sample(t Traffic, now time.Time) {
+	s := linkSample{at: now, in: t.In(), out: t.Out()}
+	u.samples = append(u.samples, s)
+	for len(u.samples) > 2 && now.Sub(u.samples[1].at) >= useWindow {
+		u.samples = append(u.samples[:0], u.samples[1:]...)
+	}
+	first := u.samples[0]
+	if passed := now.Sub(first.at).Seconds(); passed >= useWindow.Seconds() {
+		u.inRate, u.outRate = float64(s.in-first.in)/passed, float64(s.out-first.out)/passed
+	}
 }
 
 // share returns the part of a link's capacity that its busier direction carried.
@@ -35,34 +62,27 @@
 	return max(u.inRate, u.outRate) / capacity
 }
 
-// roll begins a new second and reports whether one has ended.
-func (u *linkUse) roll(t Traffic, now time.Time) bool {
-	passed := now.Sub(u.at)
-	if passed < linkReport {
-		return false
-	}
-	in, out := t.In(), t.Out()
-	if !u.at.IsZero() {
-		u.inRate, u.outRate = float64(in-u.in)/passed.Seconds(), float64(out-u.out)/passed.Seconds()
-	}
-	u.at, u.in, u.out = now, in, out
-	return true
-}
-
-// report logs what the link carries, once a second while it is busy or full.
-func (g *Guard) report(now time.Time) {
+// watch looks at what the link carries, and logs it once a second while it is busy or
+// full.
+func (g *Guard) watch(now time.Time) {
 	if g.Traffic == nil {
 		return
 	}
-	wait, full := g.LinkWait(now), g.LinkFull(now)
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	if !g.use.roll(g.Traffic, now) {
-		return
+	g.use.sample(g.Traffic, now)
+	share := g.use.share(g.LinkBytes)
+	if share >= fullShare {
+		g.fullAt = now
 	}
-	if g.use.share(g.LinkBytes) < busyShare && !full {
+	due := now.Sub(g.use.reportedAt) >= linkReport
+	g.mu.Unlock()
+	wait, full := g.LinkWait(now), g.LinkFull(now)
+	if !due || share < busyShare && !full {
 		return
 	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.use.reportedAt = now
 	e := g.Log.Info().Float64("in_kbps", g.use.inRate*bitsPerByte/1e3).Float64("out_kbps", g.use.outRate*bitsPerByte/1e3).
 		Dur("link_ms", wait).Dur("trip_age_ms", now.Sub(g.tripAt)).Int("silent_rounds", len(g.asked)).Bool("full", full)
 	if g.Connections != nil {
