Take no new connections while a router's link carries more than it should

Readiness went off only once requests already waited on the link, so that the second or two until the balancer notices made the queue longer than a route's timeout. One caller of Laut Suhu (half of a zone) fills 0.87 of a router's link without any disturbance. Tried and taken back: closing kept connections with their answers while the link is full.

--- a/relay/link.go
+++ b/relay/link.go
@@ -15,7 +15,7 @@
 
 // fullShare is the part of the link's capacity from which on the VM takes no new
 // connections: a queue that is used more than that grows with every swing of the load.
-const fullShare = 1e9
+const fullShare = 0.8
 
 // Traffic counts the bytes that a VM's link has carried since the process started.
 type Traffic interface {
