Take a newer configuration from any router, also while control seems to be heard

Cause: a router follows one leader by a call of up to 2 s + 1.5 s. Until it fails the router counts as hearing control and asked no other router, be the leader frozen, cut off or its replies behind a full link. Now each round of the mesh asks for a newer version. What routers hold was committed, and a version only rises.

--- a/ctrl/site_mirror.go
+++ b/ctrl/site_mirror.go
@@ -80,9 +80,9 @@
 	return r
 }
 
-// Wanted implements peer.Site: a router that doesn't hear control takes what other
-// routers have.
-func (m *SiteMirror) Wanted() (version int64, wanted bool) { return m.version(), !m.heard.Load() }
+// Wanted implements peer.Site. What other routers have was committed, and a leader that
+// hangs looks for seconds like one without news: a newer version counts from anyone.
+func (m *SiteMirror) Wanted() (version int64, wanted bool) { return m.version(), true }
 
 // Above implements peer.Site.
 func (m *SiteMirror) Above(version int64) *wire.SiteState {
--- /dev/null
+++ b/ctrl/site_mirror_test.go
@@ -0,0 +1,104 @@
+package ctrl
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"buckthornpin/event"
+	"buckthornpin/peer"
+	"buckthornpin/site"
+	"buckthornpin/stand"
+	"buckthornpin/wire"
+)
+
+// applyBound is the shortest time that a site gives a change until it is in force.
+const applyBound = 2 * time.Second
+
+// hangingLeader answers the first call and no later one.
+type hangingLeader struct {
+	wire.UnimplementedControlHandler
+	calls atomic.Int64
+}
+
+// Sync implements wire.ControlHandler.
+func (l *hangingLeader) Sync(ctx context.Context, _ *wire.SyncRequest) (*wire.SyncReply, error) {
+	if l.calls.Add(1) > 1 {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return &wire.SyncReply{Revision: 1, Site: &wire.SiteState{Version: 1}}, nil
+}
+
+// mirrored is a router that follows control and gossips.
+type mirrored struct {
+	mirror *SiteMirror
+	mesh   *peer.Mesh
+}
+
+func newMirrored(t *testing.T, n *stand.Network, address string) mirrored {
+	t.Helper()
+	transport := &http.Transport{Protocols: new(http.Protocols), DialContext: func(ctx context.Context, _, to string) (net.Conn, error) {
+		return n.Dial(ctx, nil, to)
+	}}
+	transport.Protocols.SetUnencryptedHTTP2(true)
+	t.Cleanup(transport.CloseIdleConnections)
+	client := &http.Client{Transport: transport}
+	m := &SiteMirror{
+		Client: &Client{Addresses: []string{"control:80"}, HTTP: client, Scheme: "http"}, Router: address, Log: zerolog.Nop(),
+		Decode: func(*wire.SiteState) (site.Configuration, error) { return site.Configuration{}, nil },
+	}
+	out := mirrored{mirror: m, mesh: &peer.Mesh{
+		Nodes:     &peer.Nodes{Self: peer.Node{VM: address, Address: address, Incarnation: 1}, AliveFor: time.Minute, ForgetAfter: time.Hour},
+		Directory: &peer.Directory{Events: &event.Line{VM: address, Clock: &event.Clock{}}, DeadAfter: time.Hour, Addresses: func() []string { return nil }},
+		HTTP:      client, Scheme: "http", Seeds: func() []string { return []string{"router-1:80", "router-2:80"} }, Site: m, Log: zerolog.Nop(),
+	}}
+	out.mesh.Open()
+	mux := http.NewServeMux()
+	out.mesh.Register(mux)
+	serveMemory(t, n, address, mux)
+	return out
+}
+
+func serveMemory(t *testing.T, n *stand.Network, address string, h http.Handler) {
+	t.Helper()
+	s := &http.Server{Handler: h, Protocols: new(http.Protocols)} //nolint:gosec // a test's server.
+	s.Protocols.SetUnencryptedHTTP2(true)
+	l := n.Listen(address, nil)
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
+}
+
+// TestConfigurationPassesAHangingLeader guards against a change that isn't in force in
+// time at a router whose leader hangs, though other routers have it from another one.
+func TestConfigurationPassesAHangingLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		var n stand.Network
+		mux := http.NewServeMux()
+		mux.Handle(wire.NewControlHandler(&hangingLeader{}))
+		serveMemory(t, &n, "control:80", mux)
+		follower, other := newMirrored(t, &n, "router-1:80"), newMirrored(t, &n, "router-2:80")
+		ended := make(chan error, 3)
+		go func() { ended <- follower.mirror.Run(ctx) }()
+		go func() { ended <- follower.mesh.Run(ctx) }()
+		go func() { ended <- other.mesh.Run(ctx) }()
+		time.Sleep(time.Second / 2)
+		require.Equal(t, int64(1), follower.mirror.version())
+
+		other.mirror.Take(&wire.SiteState{Version: 2})
+		time.Sleep(applyBound)
+		require.Equal(t, int64(2), follower.mirror.version())
+		stop()
+		for range cap(ended) {
+			<-ended
+		}
+	})
+}
