Refuse unread while there is no configuration

Cause: a request that can't be routed was read whole and its connection kept. Now it's refused before its body is read, and the connection ends, so that the next request comes to another router. Test: TestNoConfigurationRefusesUnread (failed before: not refused).

--- a/relay/guard_test.go
+++ b/relay/guard_test.go
@@ -154,3 +154,14 @@
 		})
 	}
 }
+
+// TestNoConfigurationRefusesUnread guards against a router that was started again and
+// reads the bodies of requests that it can't route, which fills its link before its
+// configuration comes.
+func TestNoConfigurationRefusesUnread(t *testing.T) {
+	r := &Router{Site: func() *site.Table { return nil }, Log: zerolog.Nop()}
+	a := r.Admit("id", "h", "/x", 17_000, time.Unix(1_000, 0))
+	require.True(t, a.Refused)
+	require.Equal(t, Refusal{Reason: ReasonNoConfiguration, RetryAfter: time.Second}, a.Refusal)
+	require.Equal(t, int64(1), r.metrics.outcomes[string(ReasonNoConfiguration)])
+}
--- a/relay/router.go
+++ b/relay/router.go
@@ -88,7 +88,7 @@
 	}
 	t := r.Site()
 	if t == nil {
-		return a
+		return r.refuseUnread(a, id, Refusal{Reason: ReasonNoConfiguration, RetryAfter: time.Second})
 	}
 	to := t.Route(host, path)
 	if to == nil {
@@ -105,6 +105,15 @@
 	return a
 }
 
+// refuseUnread refuses a request before its body is read. The connection ends with it,
+// so that the caller's next request reaches another router.
+func (r *Router) refuseUnread(a Admission, id string, f Refusal) Admission {
+	a.Refused, a.Refusal = true, f
+	r.Log.Info().Str("request", id).Str("outcome", string(f.Reason)).Dur("retry_after_ms", f.RetryAfter).Msg("request was refused unread")
+	r.metrics.count(f.Reason)
+	return a
+}
+
 // elsewhere is when a caller that was turned away should come again: it reaches
 // another router then, and needs no pause but what keeps a crowd apart.
 const elsewhere = 50 * time.Millisecond
