--- a/ctrl/site_mirror_test.go
+++ b/ctrl/site_mirror_test.go
@@ -98,7 +98,7 @@
 		require.Equal(t, int64(2), follower.mirror.version())
 		stop()
 		for range cap(ended) {
-			<-ended
+			require.NoError(t, <-ended)
 		}
 	})
 }
