--- a/ctrl/site_mirror_test.go
+++ b/ctrl/site_mirror_test.go
@@ -102,3 +102,31 @@
 		}
 	})
 }
+
+// TestMirrorVersionOnlyRises: whichever order control and other routers tell versions in,
+// a router never goes back, and other content under the version that it holds changes
+// nothing.
+func TestMirrorVersionOnlyRises(t *testing.T) {
+	m := &SiteMirror{Log: zerolog.Nop(), Decode: func(s *wire.SiteState) (site.Configuration, error) {
+		return site.Configuration{Routes: []site.Route{{Name: string(s.GetDocument()), Host: "h", PathPrefix: "/"}}}, nil
+	}}
+	tell := func(version int64, document string) {
+		m.Take(&wire.SiteState{Version: version, Document: []byte(document)})
+	}
+	for _, step := range []struct {
+		version int64
+		told    string
+		held    string
+	}{
+		{3, "three", "three"},
+		{2, "two", "three"},
+		{3, "other content", "three"},
+		{7, "seven", "seven"},
+		{3, "three", "seven"},
+	} {
+		tell(step.version, step.told)
+		require.Equal(t, step.held, m.Table().Route("h", "/").Name)
+	}
+	require.Nil(t, m.Above(7))
+	require.Equal(t, int64(7), m.Above(6).GetVersion())
+}
