Give pings between processes the time that bytes may stay without an acknowledgement

Cause: a ping's answer had a quarter of the contact time (1 s), less than the queue. Class: a fixed time against a wait that grows with the load. Now it has half of the contact time, as TCP's own acknowledgements have, so that a silent connection is found within three quarters of the contact time (before: a half).

--- a/app/fleet_servers.go
+++ b/app/fleet_servers.go
@@ -71,7 +71,7 @@
 	mesh := &http.Server{Handler: internal, Protocols: new(http.Protocols), ReadHeaderTimeout: callerHeaderTimeout}
 	mesh.Protocols.SetHTTP1(true)
 	mesh.Protocols.SetUnencryptedHTTP2(true)
-	mesh.HTTP2 = &http.HTTP2Config{SendPingTimeout: time.Duration(p.Contact) / 4, PingTimeout: time.Duration(p.Contact) / 4}
+	mesh.HTTP2 = &http.HTTP2Config{SendPingTimeout: time.Duration(p.Contact) / 4, PingTimeout: time.Duration(p.Contact) / 2}
 	out = append(out, servedAddress{"internal", p.MeshAddress(), mesh})
 	m := &health.Server{Ready: f.alive, Draining: f.draining.Load, Metrics: f.metrics}
 	metrics := &http.Server{Handler: m.Handler(), ReadHeaderTimeout: callerHeaderTimeout}
--- a/conn/client.go
+++ b/conn/client.go
@@ -41,9 +41,12 @@
 	Via []Via
 	// Traffic counts the connections' bytes, if set.
 	Traffic *Traffic
-	// SilentAfter is how long the other side may be silent before a connection
-	// counts as dead; PingAfter and PingTimeout apply if 0.
+	// SilentAfter is how long bytes may stay without an acknowledgement before a
+	// connection counts as dead, and how long the answer to a ping may take, which is
+	// sent after half of that without any bytes; PingAfter and PingTimeout apply if 0.
 	SilentAfter time.Duration
+	// Open opens a connection; nil is TCP.
+	Open func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // Internal returns a client for the calls between our own processes: HTTP/2,
@@ -55,7 +58,7 @@
 	t.Protocols.SetUnencryptedHTTP2(d.TLS == nil)
 	t.HTTP2 = &http.HTTP2Config{SendPingTimeout: PingAfter, PingTimeout: PingTimeout}
 	if d.SilentAfter > 0 {
-		t.HTTP2 = &http.HTTP2Config{SendPingTimeout: d.SilentAfter / 2, PingTimeout: d.SilentAfter / 2}
+		t.HTTP2 = &http.HTTP2Config{SendPingTimeout: d.SilentAfter / 2, PingTimeout: d.SilentAfter}
 	}
 	return &http.Client{Transport: t}
 }
@@ -104,6 +107,9 @@
 			break
 		}
 	}
+	if d.Open != nil {
+		return d.Open(ctx, address)
+	}
 	plain := &net.Dialer{Timeout: DialTimeout, KeepAlive: PingAfter}
 	if d.SilentAfter > 0 {
 		plain = &net.Dialer{Timeout: d.SilentAfter, KeepAliveConfig: probes(d.SilentAfter), Control: userTimeout(d.SilentAfter)}
--- /dev/null
+++ b/conn/ping_test.go
@@ -0,0 +1,72 @@
+package conn_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"buckthornpin/conn"
+	"buckthornpin/stand"
+)
+
+// pingLink, in bytes per second, is slow enough for one connection to keep its queue
+// between 1 and 2 s.
+const pingLink = 28_000
+
+// fill keeps the queue into a VM full until ctx ends.
+func fill(ctx context.Context, t *testing.T, n *stand.Network, link *stand.Link) {
+	t.Helper()
+	l := n.Listen("sink", link)
+	c, err := n.Dial(ctx, nil, "sink")
+	require.NoError(t, err)
+	accepted, err := l.Accept()
+	require.NoError(t, err)
+	go func() { _, _ = io.Copy(io.Discard, accepted) }()
+	go func() {
+		for ctx.Err() == nil {
+			_, _ = c.Write(make([]byte, 1_000))
+		}
+	}()
+	context.AfterFunc(ctx, func() { _ = c.Close(); _ = accepted.Close() })
+}
+
+// TestCallsOutliveAFullLink guards against a router that loses its connections to all
+// other processes while its link is full, and so hears of nothing: pings were given up
+// sooner than their answers could pass the link.
+func TestCallsOutliveAFullLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		var n stand.Network
+		link := &stand.Link{BytesPerSecond: pingLink}
+		s := &http.Server{Protocols: new(http.Protocols), Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("x")) })} //nolint:gosec // a test's server.
+		s.Protocols.SetUnencryptedHTTP2(true)
+		l := n.Listen("control:80", nil)
+		go func() { _ = s.Serve(l) }()
+		fill(ctx, t, &n, link)
+		time.Sleep(5 * time.Second)
+
+		d := &conn.Dialer{SilentAfter: 2 * time.Second, Open: func(ctx context.Context, to string) (net.Conn, error) { return n.Dial(ctx, link, to) }}
+		c := d.Internal()
+		defer func() {
+			c.CloseIdleConnections()
+			_ = s.Close()
+			stop()
+			time.Sleep(time.Minute)
+		}()
+		for range 5 {
+			began := time.Now()
+			r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://control/", nil)
+			require.NoError(t, err)
+			answer, err := c.Do(r)
+			require.NoError(t, err)
+			require.NoError(t, answer.Body.Close())
+			require.Greater(t, time.Since(began), time.Second, "the link is full")
+		}
+	})
+}
