Close the callers' address while the link's wait is long

Readiness takes the balancer a second or two; a caller that sends twice what the link carries makes the queue longer than a route's timeout meanwhile, and each request that is turned away has cost the link its body (body_ms 0 in the median: it has passed before its headers are read). Now conn.Gate closes the address while the link is busy and its wait is over 250 ms: a refused connection costs two packets, and its caller goes elsewhere at once. On a link that carries little a long wait is the others' or the processor's, and the address stays open.

--- a/app/fleet_servers.go
+++ b/app/fleet_servers.go
@@ -10,6 +10,7 @@
 	"connectrpc.com/connect"
 	"github.com/go-faster/errors"
 
+	"buckthornpin/conn"
 	"buckthornpin/ctrl"
 	"buckthornpin/health"
 	platf "buckthornpin/platform"
@@ -43,11 +44,27 @@
 		if err != nil {
 			return nil, &Error{Op: "listen", Kind: KindSetup, Err: err}
 		}
+		if s.name == callersName {
+			gate := f.gate(l, s.address)
+			parts = append(parts, part{"gate", gate.Run})
+			l = gate
+		}
 		parts = append(parts, part{s.name, f.serve(f.dialer.Traffic.Listener(l), s.server)})
 	}
 	return parts, nil
 }
 
+// callersName names the address that callers reach.
+const callersName = "callers"
+
+// gate takes callers' connections while the VM's link can carry what they bring.
+func (f *Fleet) gate(opened net.Listener, address string) *conn.Gate {
+	return &conn.Gate{
+		Opened: opened, Listen: func() (net.Listener, error) { return net.Listen("tcp", address) },
+		Wanted: f.router.Guard.Connects, Log: f.Log,
+	}
+}
+
 type servedAddress struct {
 	name, address string
 	server        *http.Server
@@ -62,7 +79,7 @@
 		ingress := &platf.Ingress{Router: f, MaxBodyBytes: f.maxBody}
 		front := &http.Server{Handler: ingress, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdle, MaxHeaderBytes: callerHeaderBytes}
 		f.callers.Watch(front)
-		out = append(out, servedAddress{"callers", p.CallerAddress, front})
+		out = append(out, servedAddress{callersName, p.CallerAddress, front})
 		out = append(out, servedAddress{"ready", p.ReadyAddress, &http.Server{Handler: platf.ReadyHandler(f.Ready), ReadHeaderTimeout: callerHeaderTimeout}})
 	} else {
 		s := &platf.ControlServer{Control: &fleetControl{fleet: f}, Log: f.Log, Timeout: controlTimeout}
--- a/relay/full_link_test.go
+++ b/relay/full_link_test.go
@@ -147,8 +147,12 @@
 	go func() { _ = c.guard.Run(ctx) }()
 	ingress := &platf.Ingress{Router: crowdRouter{router}, MaxBodyBytes: func() int64 { return 4 << 20 }}
 	s := &http.Server{Handler: ingress} //nolint:gosec // a test's server.
-	listener := traffic.Listener(c.network.Listen("callers", c.link))
-	go func() { _ = s.Serve(listener) }()
+	gate := &conn.Gate{
+		Opened: c.network.Listen("callers", c.link), Listen: func() (net.Listener, error) { return c.network.Listen("callers", c.link), nil },
+		Wanted: c.guard.Connects, Log: zerolog.Nop(),
+	}
+	go func() { _ = gate.Run(ctx) }()
+	go func() { _ = s.Serve(traffic.Listener(gate)) }()
 	c.closers = append(c.closers, func() { _ = s.Close() })
 }
 
--- a/relay/guard.go
+++ b/relay/guard.go
@@ -150,6 +150,15 @@
 	return g.recentTrip(now) > fullWait || !g.fullAt.IsZero() && now.Sub(g.fullAt) < g.NoticedAfter
 }
 
+// Connects reports whether new connections are taken: what they would bring can't be
+// carried in time while the link is busy and its wait is long. A long wait on a link that
+// carries little is the others' or the processor's, and refusing wouldn't mend it.
+func (g *Guard) Connects(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.use.share(g.LinkBytes) < busyShare || g.recentTrip(now) <= fullWait
+}
+
 // Admits reports whether a request with a body of so many bytes and a latency
 // objective can be carried.
 func (g *Guard) Admits(bytes int64, objective time.Duration, now time.Time) bool {
--- a/relay/guard_test.go
+++ b/relay/guard_test.go
@@ -148,6 +148,7 @@
 			}
 			require.Equal(t, c.wait, g.LinkWait(now))
 			require.Equal(t, c.full, g.LinkFull(now))
+			require.Equal(t, !c.full, g.Connects(now))
 
 			g.ObserveTrip(2*time.Second, now)
 			require.Equal(t, 2*time.Second, g.LinkWait(now), "a reply that comes late tells the wait, and later rounds are younger")
--- a/relay/link.go
+++ b/relay/link.go
@@ -84,7 +84,10 @@
 	defer g.mu.Unlock()
 	g.use.reportedAt = now
 	e := g.Log.Info().Float64("in_kbps", g.use.inRate*bitsPerByte/1e3).Float64("out_kbps", g.use.outRate*bitsPerByte/1e3).
-		Dur("link_ms", wait).Dur("trip_age_ms", now.Sub(g.tripAt)).Int("silent_rounds", len(g.asked)).Bool("full", full)
+		Dur("link_ms", wait).Int("silent_rounds", len(g.asked)).Bool("full", full)
+	if !g.tripAt.IsZero() {
+		e = e.Dur("trip_age_ms", now.Sub(g.tripAt))
+	}
 	if g.Connections != nil {
 		e = e.Int64("connections", g.Connections())
 	}
--- a/stand/network.go
+++ b/stand/network.go
@@ -82,7 +82,7 @@
 	n.mu.Lock()
 	l := n.listeners[address]
 	n.mu.Unlock()
-	if l == nil {
+	if l == nil || l.isClosed() {
 		return nil, errors.Errorf("nothing listens at %s", address)
 	}
 	there, back := newStream(from, l.link), newStream(l.link, from)
@@ -91,12 +91,8 @@
 	}
 	accepted := time.Until(back.arrival(1))
 	here := &Conn{read: back, write: there, local: "caller", remote: l.address}
-	select {
-	case l.waiting <- &Conn{read: there, write: back, local: l.address, remote: "caller"}:
-	case <-l.closed:
-		return nil, errors.Errorf("%s is closed", address)
-	case <-ctx.Done():
-		return nil, ctx.Err()
+	if !l.offer(&Conn{read: there, write: back, local: l.address, remote: "caller"}) {
+		return nil, errors.Errorf("%s is closed, or too many wait there", address)
 	}
 	return here, sleep(ctx, accepted)
 }
@@ -117,10 +113,25 @@
 	address networkAddress
 	link    *Link
 	waiting chan net.Conn
-	once    sync.Once
+	mu      sync.Mutex
 	closed  chan struct{}
 }
 
+// offer puts a connection before the listener, if that is open.
+func (l *Listener) offer(c net.Conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.isClosed() {
+		return false
+	}
+	select {
+	case l.waiting <- c:
+		return true
+	default:
+		return false
+	}
+}
+
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
 	select {
@@ -131,10 +142,31 @@
 	}
 }
 
-// Close implements net.Listener.
+// Close implements net.Listener. Connections that wait to be accepted end.
 func (l *Listener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return nil
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.isClosed() {
+		return nil
+	}
+	close(l.closed)
+	for {
+		select {
+		case c := <-l.waiting:
+			_ = c.Close()
+		default:
+			return nil
+		}
+	}
+}
+
+func (l *Listener) isClosed() bool {
+	select {
+	case <-l.closed:
+		return true
+	default:
+		return false
+	}
 }
 
 // Addr implements net.Listener.
