--- /dev/null
+++ b/relay/crowd_test.go
@@ -0,0 +1,309 @@
+package relay_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"buckthornpin"
+	"buckthornpin/conn"
+	"buckthornpin/event"
+	"buckthornpin/peer"
+	platf "buckthornpin/platform"
+	"buckthornpin/relay"
+	"buckthornpin/site"
+	"buckthornpin/stand"
+)
+
+const (
+	// crowdLink is a router's link of 10 Mbit/s, in bytes per second.
+	crowdLink = 1_250_000
+	// crowdSlack is the time behind a route's timeout within which the final answer
+	// has to be there.
+	crowdSlack = 500 * time.Millisecond
+	// crowdNotices is the balancer's time: two checks, a second apart, and a margin.
+	crowdNotices = 2300 * time.Millisecond
+)
+
+// crowdKind is a kind of request with the size of its body.
+type crowdKind struct {
+	path      string
+	share     float64
+	bytes     int
+	timeout   time.Duration
+	objective time.Duration
+	patience  time.Duration
+}
+
+// crowdKinds is a mix of long prompts and short requests.
+var crowdKinds = []crowdKind{
+	{path: "/long/", share: 0.21, bytes: 17_000, timeout: 8 * time.Second, objective: 600 * time.Millisecond, patience: 8 * time.Second},
+	{path: "/middle/", share: 0.19, bytes: 9_200, timeout: 4 * time.Second, objective: 600 * time.Millisecond, patience: 4 * time.Second},
+	{path: "/short/", share: 0.34, bytes: 1_500, timeout: 8 * time.Second, objective: 500 * time.Millisecond, patience: 8 * time.Second},
+	{path: "/plain/", share: 0.26, bytes: 600, timeout: 2 * time.Second, objective: 300 * time.Millisecond, patience: 4 * time.Second},
+}
+
+// crowd is a caller whose requests all reach one router, beside the router itself,
+// routers that it gossips with, and endpoints. All of the router's connections share
+// its link.
+type crowd struct {
+	t       *testing.T
+	network stand.Network
+	link    *stand.Link
+	guard   *relay.Guard
+	random  *rand.Rand
+	closers []func()
+
+	mu   sync.Mutex
+	idle []net.Conn
+	// sent counts the requests, answered those with a success, late those without a
+	// final answer at their route's timeout, held those of them that had none
+	// crowdSlack later, and elsewhere what another router gets.
+	sent, answered, refused, late, held, elsewhere int
+}
+
+// dial opens a connection of the router.
+func (c *crowd) dial(ctx context.Context, address string) (net.Conn, error) {
+	return c.network.Dial(ctx, c.link, address)
+}
+
+func (c *crowd) serve(address string, l *stand.Link, h http.Handler, h2 bool) {
+	s := &http.Server{Handler: h, Protocols: new(http.Protocols)} //nolint:gosec // a test's server.
+	s.Protocols.SetHTTP1(true)
+	s.Protocols.SetUnencryptedHTTP2(h2)
+	listener := c.network.Listen(address, l)
+	go func() { _ = s.Serve(listener) }()
+	c.closers = append(c.closers, func() { _ = s.Close() })
+}
+
+func (c *crowd) mesh(address string, l *stand.Link, known []string) *peer.Mesh {
+	nodes := &peer.Nodes{Self: peer.Node{VM: address, Address: address, Incarnation: 1}, AliveFor: time.Minute, ForgetAfter: time.Hour}
+	directory := &peer.Directory{Events: &event.Line{VM: address, Clock: &event.Clock{}}, DeadAfter: time.Hour, Addresses: func() []string { return nil }}
+	transport := &http.Transport{Protocols: new(http.Protocols), DialContext: func(ctx context.Context, _, to string) (net.Conn, error) {
+		return c.network.Dial(ctx, l, to)
+	}}
+	transport.Protocols.SetUnencryptedHTTP2(true)
+	c.closers = append(c.closers, transport.CloseIdleConnections)
+	m := &peer.Mesh{Nodes: nodes, Directory: directory, HTTP: &http.Client{Transport: transport}, Scheme: "http", Seeds: func() []string { return known }, Log: zerolog.Nop()}
+	m.Open()
+	mux := http.NewServeMux()
+	m.Register(mux)
+	c.serve(address, l, mux, true)
+	return m
+}
+
+// endpoints answer after a short time of work.
+func (c *crowd) endpoint(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	time.Sleep(50 * time.Millisecond)
+	platf.EncodeEndpointAnswer(w.Header(), platf.DecodeEndpointRequest(r.Header).ID, "seal", false)
+	_, _ = w.Write(bytes.Repeat([]byte("a"), 800))
+}
+
+// crowdRouter joins what a process joins: callers, relay, guard, pool and mesh.
+type crowdRouter struct{ *relay.Router }
+
+// Serve implements the ingress's router.
+func (r crowdRouter) Serve(h *http.Request, q *relay.Request, reply relay.Reply) {
+	r.Router.Serve(h.Context(), q, reply)
+}
+
+func (c *crowd) open(ctx context.Context) {
+	c.link = &stand.Link{BytesPerSecond: crowdLink}
+	others := []string{"peer-1:80", "peer-2:80", "peer-3:80"}
+	for _, a := range others {
+		m := c.mesh(a, nil, others)
+		go func() { _ = m.Run(ctx) }()
+	}
+	m := c.mesh("router", c.link, others)
+	traffic := &conn.Traffic{}
+	c.guard = &relay.Guard{LinkBytes: crowdLink, NoticedAfter: crowdNotices, Traffic: traffic, Log: zerolog.Nop()}
+	m.ShortestTrip, m.RoundBegan, m.RoundLost = c.guard.ObserveTrip, c.guard.ObserveRound, c.guard.ForgetRound
+	for i := range 4 {
+		address := fmt.Sprint("endpoint-", i)
+		c.serve(address, nil, http.HandlerFunc(c.endpoint), false)
+		m.Directory.Put(buckthornpin.Endpoint{ID: address, Address: address, Services: []string{"app"}, Capacity: 100, Sequence: 1, Incarnation: 1, SeenAt: time.Now()})
+	}
+	table := site.NewTable(c.configuration())
+	router := &relay.Router{
+		Site: func() *site.Table { return table }, Directory: m.Directory, Loads: m, Guard: c.guard, Log: zerolog.Nop(),
+		Endpoints: &platf.Endpoints{Pool: &conn.Pool{DialTimeout: 1300 * time.Millisecond, Dial: c.dial, Traffic: traffic}},
+		Retries:   &relay.Retries{Ratio: 0.2, Slack: 200, Window: 10 * time.Second, Routers: func() int { return 86 }},
+	}
+	router.Open()
+	go func() { _ = m.Run(ctx) }()
+	go func() { _ = c.guard.Run(ctx) }()
+	ingress := &platf.Ingress{Router: crowdRouter{router}, MaxBodyBytes: func() int64 { return 4 << 20 }}
+	s := &http.Server{Handler: ingress} //nolint:gosec // a test's server.
+	gate := &conn.Gate{
+		Opened: c.network.Listen("callers", c.link), Listen: func() (net.Listener, error) { return c.network.Listen("callers", c.link), nil },
+		Wanted: c.guard.Connects, Log: zerolog.Nop(),
+	}
+	go func() { _ = gate.Run(ctx) }()
+	go func() { _ = s.Serve(traffic.Listener(gate)) }()
+	c.closers = append(c.closers, func() { _ = s.Close() })
+}
+
+func (c *crowd) configuration() site.Configuration {
+	out := site.Configuration{Version: 1, Services: []site.Service{{Name: "app"}}}
+	for _, k := range crowdKinds {
+		out.Routes = append(out.Routes, site.Route{
+			Name: k.path, Host: "h", PathPrefix: k.path, Kind: site.KindNonIdempotent, Timeout: k.timeout, Objective: k.objective,
+			MaxAttempts: 1, Anonymous: true, Shares: []site.Share{{Service: "app", Weight: 1}},
+		})
+	}
+	return out
+}
+
+// balance asks the router once a second whether it takes new connections; two
+// refusals take it out, one success brings it back.
+func (c *crowd) balance(ctx context.Context, inRotation func(bool)) {
+	misses := 0
+	for ctx.Err() == nil {
+		misses++
+		if !c.guard.LinkFull(time.Now()) {
+			misses = 0
+		}
+		inRotation(misses < 2)
+		time.Sleep(time.Second)
+	}
+}
+
+// connection returns a kept connection, or a new one while the router is in rotation.
+func (c *crowd) connection(ctx context.Context, inRotation bool) net.Conn {
+	c.mu.Lock()
+	if n := len(c.idle); n > 0 {
+		out := c.idle[n-1]
+		c.idle = c.idle[:n-1]
+		c.mu.Unlock()
+		return out
+	}
+	c.mu.Unlock()
+	if !inRotation {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	out, err := c.network.Dial(ctx, nil, "callers")
+	if err != nil {
+		return nil
+	}
+	return out
+}
+
+// request sends one request and notes when its final answer comes.
+func (c *crowd) request(ctx context.Context, id string, k crowdKind, inRotation bool) {
+	to := c.connection(ctx, inRotation)
+	if to == nil {
+		c.count(&c.elsewhere)
+		return
+	}
+	c.count(&c.sent)
+	sent := time.Now()
+	_ = to.SetDeadline(sent.Add(k.patience + time.Second))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://h"+k.path, bytes.NewReader(make([]byte, k.bytes)))
+	require.NoError(c.t, err)
+	platf.EncodeRequest(r.Header, relay.Request{ID: id, Deadline: sent.Add(k.patience)})
+	status := 0
+	keep := false
+	written := make(chan struct{})
+	go func() { defer close(written); _ = r.Write(to) }()
+	if answer, err := http.ReadResponse(bufio.NewReader(to), r); err == nil {
+		_, err := io.Copy(io.Discard, answer.Body)
+		status, keep = answer.StatusCode, err == nil && !answer.Close
+		_ = answer.Body.Close()
+	}
+	took := time.Since(sent)
+	if !keep {
+		_ = to.Close()
+	}
+	<-written
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if keep {
+		c.idle = append(c.idle, to)
+	}
+	switch {
+	case status == http.StatusOK:
+		c.answered++
+	case status != 0:
+		c.refused++
+	}
+	if took > k.timeout {
+		c.late++
+	}
+	if took > k.timeout+crowdSlack {
+		c.held++
+	}
+}
+
+func (c *crowd) count(n *int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	*n++
+}
+
+func (c *crowd) kind() crowdKind {
+	at := c.random.Float64()
+	for _, k := range crowdKinds {
+		if at -= k.share; at < 0 {
+			return k
+		}
+	}
+	return crowdKinds[len(crowdKinds)-1]
+}
+
+// phase is a part of a load: requests per second for a time.
+type phase struct {
+	rate int
+	last time.Duration
+}
+
+func playCrowd(t *testing.T, seed uint64, load []phase) *crowd {
+	t.Helper()
+	c := &crowd{t: t, random: rand.New(rand.NewPCG(seed, 1))}
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		c.t = t
+		c.open(ctx)
+		in := true
+		go c.balance(ctx, func(now bool) { c.mu.Lock(); in = now; c.mu.Unlock() })
+		time.Sleep(2 * time.Second)
+		require.Positive(t, c.guard.LinkWait(time.Now()), "the mesh answers")
+		var all sync.WaitGroup
+		n := 0
+		for _, p := range load {
+			for end := time.Now().Add(p.last); time.Now().Before(end); time.Sleep(time.Second / time.Duration(p.rate)) {
+				n++
+				k, id := c.kind(), fmt.Sprint("r", n)
+				c.mu.Lock()
+				inRotation := in
+				c.mu.Unlock()
+				all.Go(func() { c.request(ctx, id, k, inRotation) })
+			}
+		}
+		all.Wait()
+		stop()
+		for _, i := range c.idle {
+			_ = i.Close()
+		}
+		for _, closeOne := range c.closers {
+			closeOne()
+		}
+		time.Sleep(time.Minute)
+	})
+	t.Logf("sent %d, elsewhere %d, answered %d, refused %d, unanswered at the timeout %d, held on %d", c.sent, c.elsewhere, c.answered, c.refused, c.late, c.held)
+	return c
+}
