--- a/conn/gate.go
+++ b/conn/gate.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"buckthornpin"
 )
 
 // gateInterval is the time between two looks at whether connections are taken: the
@@ -33,16 +35,8 @@
 
 // Run opens and closes the address until ctx ends.
 func (g *Gate) Run(ctx context.Context) error {
-	t := time.NewTicker(gateInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-		}
-		g.look(time.Now())
-	}
+	buckthornpin.Every(ctx, gateInterval, func(_ context.Context, now time.Time) { g.look(now) })
+	return nil
 }
 
 // look closes or opens the address if that has changed.
@@ -55,8 +49,8 @@
 	}
 	if !wanted {
 		g.shut = true
-		_ = g.Opened.Close()
-		g.Log.Info().Stringer("address", g.Opened.Addr()).Msg("new connections are refused")
+		err := g.Opened.Close()
+		g.Log.Info().Err(err).Stringer("address", g.Opened.Addr()).Msg("new connections are refused")
 		return
 	}
 	l, err := g.Listen()
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -177,7 +177,7 @@
 }
 
 // stages adds where the request's time went: on the link as far as it is known, until
-// the body was read, until the newest attempt began, and until its answer began.
+// the body was read, until the newest attempt began, and until its answer began or it failed.
 func (f *flight) stages(l *zerolog.Event) *zerolog.Event {
 	q := f.request
 	if q.HeadRead.IsZero() {
