Read once more: dead code out, one mechanism where there were two

- conn: a descriptor that no code asked for; when a connection was opened, which nobody read; two names (Dial, Open) and two makings of one dialer.
- peer.Site.Wanted was always true since any router is asked: it's Version now, and SiteMirror needs no atomic flag.
Three hooks of the mesh are one interface, Trips.
- relay: both refusals before the body go one way; a look at the link takes its lock once, not three times; link_ms of an overload line is the wait that was decided on; metrics and log lines use one unit, kbps.
Arrived says what it has been since the whole trip counts.
- app: the gate goes by what an address says, not by its name.
No decision changes; no check or bound changed (TestShortestTrip reads one interface).

--- a/app/fleet.go
+++ b/app/fleet.go
@@ -218,9 +218,7 @@
 	f.mesh.Budgets = f.wallet
 	f.mesh.Site = f.mirror
 	f.mesh.OwnLoads = f.router.OwnLoads
-	f.mesh.ShortestTrip = f.router.Guard.ObserveTrip
-	f.mesh.RoundBegan = f.router.Guard.ObserveRound
-	f.mesh.RoundLost = f.router.Guard.ForgetRound
+	f.mesh.Trips = guard
 	f.mesh.Crashes = f.crashes
 	f.mesh.TakeCrash = f.takeCrash
 	f.metrics.Set("router", f.router.Metrics())
--- a/app/fleet_servers.go
+++ b/app/fleet_servers.go
@@ -37,15 +37,17 @@
 		if err != nil {
 			return nil, &Error{Op: "open operators' interface", Kind: KindSetup, Err: err}
 		}
-		served = append(served, servedAddress{"operators", f.Settings.Oper.Address, &http.Server{Handler: h, ReadHeaderTimeout: callerHeaderTimeout}})
+		served = append(served, servedAddress{name: "operators", address: f.Settings.Oper.Address, server: &http.Server{Handler: h, ReadHeaderTimeout: callerHeaderTimeout}})
 	}
 	for _, s := range served {
 		l, err := net.Listen("tcp", s.address)
 		if err != nil {
 			return nil, &Error{Op: "listen", Kind: KindSetup, Err: err}
 		}
-		if s.name == callersName {
-			gate := f.gate(l, s.address)
+		if s.wanted != nil {
+			gate := &conn.Gate{
+				Opened: l, Listen: func() (net.Listener, error) { return net.Listen("tcp", s.address) }, Wanted: s.wanted, Log: f.Log,
+			}
 			parts = append(parts, part{"gate", gate.Run})
 			l = gate
 		}
@@ -54,20 +56,11 @@
 	return parts, nil
 }
 
-// callersName names the address that callers reach.
-const callersName = "callers"
-
-// gate takes callers' connections while the VM's link can carry what they bring.
-func (f *Fleet) gate(opened net.Listener, address string) *conn.Gate {
-	return &conn.Gate{
-		Opened: opened, Listen: func() (net.Listener, error) { return net.Listen("tcp", address) },
-		Wanted: f.router.Guard.Connects, Log: f.Log,
-	}
-}
-
 type servedAddress struct {
 	name, address string
 	server        *http.Server
+	// wanted reports whether new connections are taken; nil is always.
+	wanted func(now time.Time) bool
 }
 
 // addressesServed are the listeners of the process; a router's callers come
@@ -79,20 +72,20 @@
 		ingress := &platf.Ingress{Router: f, MaxBodyBytes: f.maxBody}
 		front := &http.Server{Handler: ingress, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdle, MaxHeaderBytes: callerHeaderBytes}
 		f.callers.Watch(front)
-		out = append(out, servedAddress{callersName, p.CallerAddress, front})
-		out = append(out, servedAddress{"ready", p.ReadyAddress, &http.Server{Handler: platf.ReadyHandler(f.Ready), ReadHeaderTimeout: callerHeaderTimeout}})
+		out = append(out, servedAddress{name: "callers", address: p.CallerAddress, server: front, wanted: f.router.Guard.Connects})
+		out = append(out, servedAddress{name: "ready", address: p.ReadyAddress, server: &http.Server{Handler: platf.ReadyHandler(f.Ready), ReadHeaderTimeout: callerHeaderTimeout}})
 	} else {
 		s := &platf.ControlServer{Control: &fleetControl{fleet: f}, Log: f.Log, Timeout: controlTimeout}
-		out = append(out, servedAddress{"control", p.ControlAddress, &http.Server{Handler: s.Handler(), ReadHeaderTimeout: callerHeaderTimeout}})
+		out = append(out, servedAddress{name: "control", address: p.ControlAddress, server: &http.Server{Handler: s.Handler(), ReadHeaderTimeout: callerHeaderTimeout}})
 	}
 	mesh := &http.Server{Handler: internal, Protocols: new(http.Protocols), ReadHeaderTimeout: callerHeaderTimeout}
 	mesh.Protocols.SetHTTP1(true)
 	mesh.Protocols.SetUnencryptedHTTP2(true)
 	mesh.HTTP2 = &http.HTTP2Config{SendPingTimeout: time.Duration(p.Contact) / 4, PingTimeout: time.Duration(p.Contact) / 2}
-	out = append(out, servedAddress{"internal", p.MeshAddress(), mesh})
+	out = append(out, servedAddress{name: "internal", address: p.MeshAddress(), server: mesh})
 	m := &health.Server{Ready: f.alive, Draining: f.draining.Load, Metrics: f.metrics}
 	metrics := &http.Server{Handler: m.Handler(), ReadHeaderTimeout: callerHeaderTimeout}
-	out = append(out, servedAddress{"metrics", net.JoinHostPort(p.IP, strconv.Itoa(p.MetricsPort)), metrics})
+	out = append(out, servedAddress{name: "metrics", address: net.JoinHostPort(p.IP, strconv.Itoa(p.MetricsPort)), server: metrics})
 	for _, s := range out {
 		f.servers = append(f.servers, s.server)
 	}
--- a/conn/callers.go
+++ b/conn/callers.go
@@ -5,26 +5,17 @@
 	"expvar"
 	"net"
 	"net/http"
-	"sync/atomic"
-	"time"
 )
 
 // Callers counts a server's connections and the requests that each has carried. Its
 // zero value is ready.
 type Callers struct {
-	open   atomic.Int64
-	opened expvar.Int
+	open, opened expvar.Int
 }
 
-// Use is what one connection has carried.
-type Use struct {
-	// OpenedAt is when the connection was accepted.
-	OpenedAt time.Time
-	// Requests counts those that were read from it. One request is read at a time.
-	Requests int64
-}
-
-type useKey struct{}
+// requestsKey is the key of a connection's number of requests, of which one is read at
+// a time.
+type requestsKey struct{}
 
 // Watch counts the connections of a server. It comes before the server runs.
 func (c *Callers) Watch(s *http.Server) {
@@ -39,28 +30,28 @@
 		}
 	}
 	s.ConnContext = func(ctx context.Context, _ net.Conn) context.Context {
-		return context.WithValue(ctx, useKey{}, &Use{OpenedAt: time.Now()})
+		return context.WithValue(ctx, requestsKey{}, new(int64))
 	}
 }
 
 // Open returns the number of open connections.
-func (c *Callers) Open() int64 { return c.open.Load() }
+func (c *Callers) Open() int64 { return c.open.Value() }
 
 // Metrics returns the counters.
 func (c *Callers) Metrics() *expvar.Map {
 	m := new(expvar.Map)
-	m.Set("open", expvar.Func(func() any { return c.open.Load() }))
+	m.Set("open", &c.open)
 	m.Set("opened", &c.opened)
 	return m
 }
 
-// CountRequest notes a request on its connection and returns what the connection has
-// carried, this one included; the zero value if the server isn't watched.
-func CountRequest(ctx context.Context) Use {
-	u, ok := ctx.Value(useKey{}).(*Use)
+// CountRequest notes a request on its connection and returns how many that has carried,
+// this one included; 0 if the server isn't watched.
+func CountRequest(ctx context.Context) int64 {
+	n, ok := ctx.Value(requestsKey{}).(*int64)
 	if !ok {
-		return Use{}
+		return 0
 	}
-	u.Requests++
-	return *u
+	*n++
+	return *n
 }
--- a/conn/callers_test.go
+++ b/conn/callers_test.go
@@ -28,7 +28,7 @@
 // the server how many connections are open.
 func TestCallersCountRequests(t *testing.T) {
 	url, callers, traffic := countedServer(t, func(w http.ResponseWriter, r *http.Request) {
-		_, _ = fmt.Fprint(w, CountRequest(r.Context()).Requests)
+		_, _ = fmt.Fprint(w, CountRequest(r.Context()))
 	})
 	for n := range 3 {
 		r, err := http.Get(url) //nolint:gosec,noctx // a test's server.
--- a/conn/client.go
+++ b/conn/client.go
@@ -45,8 +45,8 @@
 	// connection counts as dead, and how long the answer to a ping may take, which is
 	// sent after half of that without any bytes; PingAfter and PingTimeout apply if 0.
 	SilentAfter time.Duration
-	// Open opens a connection; nil is TCP.
-	Open func(ctx context.Context, address string) (net.Conn, error)
+	// Dial opens a connection; nil is TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // Internal returns a client for the calls between our own processes: HTTP/2,
@@ -107,12 +107,13 @@
 			break
 		}
 	}
-	if d.Open != nil {
-		return d.Open(ctx, address)
+	if d.Dial != nil {
+		return d.Dial(ctx, address)
 	}
 	plain := &net.Dialer{Timeout: DialTimeout, KeepAlive: PingAfter}
 	if d.SilentAfter > 0 {
-		plain = &net.Dialer{Timeout: d.SilentAfter, KeepAliveConfig: probes(d.SilentAfter), Control: userTimeout(d.SilentAfter)}
+		plain = dialer(d.SilentAfter)
+		plain.Timeout = d.SilentAfter
 	}
 	c, err := plain.DialContext(ctx, network, address)
 	if err != nil || d.Traffic == nil {
--- a/conn/ping_test.go
+++ b/conn/ping_test.go
@@ -51,7 +51,7 @@
 		fill(ctx, t, &n, link)
 		time.Sleep(5 * time.Second)
 
-		d := &conn.Dialer{SilentAfter: 2 * time.Second, Open: func(ctx context.Context, to string) (net.Conn, error) { return n.Dial(ctx, link, to) }}
+		d := &conn.Dialer{SilentAfter: 2 * time.Second, Dial: func(ctx context.Context, to string) (net.Conn, error) { return n.Dial(ctx, link, to) }}
 		c := d.Internal()
 		defer func() {
 			c.CloseIdleConnections()
--- a/conn/pool.go
+++ b/conn/pool.go
@@ -112,7 +112,7 @@
 	if p.Dial != nil {
 		return p.Dial(ctx, address)
 	}
-	return (&net.Dialer{KeepAliveConfig: probes(p.SilentAfter), Control: userTimeout(p.SilentAfter)}).DialContext(ctx, "tcp", address)
+	return dialer(p.SilentAfter).DialContext(ctx, "tcp", address)
 }
 
 // counted returns the reading side of a connection.
@@ -130,6 +130,11 @@
 	}
 }
 
+// dialer opens connections that end when the other side has been silent.
+func dialer(silentAfter time.Duration) *net.Dialer {
+	return &net.Dialer{KeepAliveConfig: probes(silentAfter), Control: userTimeout(silentAfter)}
+}
+
 // probeCount is how many keep-alive probes may stay without an answer.
 const probeCount = 3
 
--- a/conn/traffic.go
+++ b/conn/traffic.go
@@ -4,9 +4,6 @@
 	"expvar"
 	"io"
 	"net"
-	"syscall"
-
-	"github.com/go-faster/errors"
 )
 
 // Traffic counts the bytes of connections since the process started.
@@ -61,14 +58,6 @@
 	return nil
 }
 
-// SyscallConn implements syscall.Conn.
-func (c *countedConn) SyscallConn() (syscall.RawConn, error) {
-	if raw, ok := c.Conn.(syscall.Conn); ok {
-		return raw.SyscallConn()
-	}
-	return nil, errors.New("connection has no descriptor")
-}
-
 // Read implements net.Conn.
 func (c *countedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
@@ -83,7 +72,8 @@
 	return n, err
 }
 
-// countedReader counts what is read from a connection that is written elsewhere.
+// countedReader counts what is read from a pooled connection. That isn't wrapped itself:
+// head and body of a request leave it in one call only as a TCP connection.
 type countedReader struct {
 	io.Reader
 	traffic *Traffic
--- a/ctrl/site_mirror.go
+++ b/ctrl/site_mirror.go
@@ -25,7 +25,7 @@
 
 	table    atomic.Pointer[site.Table]
 	revision int64
-	heard    atomic.Bool
+	heard    bool
 	// mu keeps two configurations from being taken at once; state is the document of
 	// the table.
 	mu    sync.Mutex
@@ -60,29 +60,27 @@
 
 // note logs when control is lost or heard again.
 func (m *SiteMirror) note(heard bool) {
-	if m.heard.Swap(heard) != heard {
-		m.Log.Info().Bool("heard", heard).Int64("version", m.version()).Msg("link to control has changed")
+	if m.heard != heard {
+		m.Log.Info().Bool("heard", heard).Int64("version", m.Version()).Msg("link to control has changed")
 	}
-}
-
-func (m *SiteMirror) version() int64 {
-	if t := m.table.Load(); t != nil {
-		return t.Version
-	}
-	return 0
+	m.heard = heard
 }
 
 func (m *SiteMirror) request() *wire.SyncRequest {
-	r := &wire.SyncRequest{Router: m.Router, Revision: m.revision, SiteVersion: m.version()}
-	if m.heard.Load() {
+	r := &wire.SyncRequest{Router: m.Router, Revision: m.revision, SiteVersion: m.Version()}
+	if m.heard {
 		r.WaitMs = syncWait.Milliseconds()
 	}
 	return r
 }
 
-// Wanted implements peer.Site. What other routers have was committed, and a leader that
-// hangs looks for seconds like one without news: a newer version counts from anyone.
-func (m *SiteMirror) Wanted() (version int64, wanted bool) { return m.version(), true }
+// Version returns the version in force, 0 before the first. It implements peer.Site.
+func (m *SiteMirror) Version() int64 {
+	if t := m.table.Load(); t != nil {
+		return t.Version
+	}
+	return 0
+}
 
 // Above implements peer.Site.
 func (m *SiteMirror) Above(version int64) *wire.SiteState {
@@ -94,14 +92,15 @@
 	return m.state
 }
 
-// Take implements peer.Site.
+// Take implements peer.Site. What other routers have was committed, and a leader that
+// hangs looks for seconds like one without news: a newer version counts from anyone.
 func (m *SiteMirror) Take(s *wire.SiteState) { m.take(s, "router") }
 
 // take puts a configuration in force that is newer than the one held.
 func (m *SiteMirror) take(s *wire.SiteState, from string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if s.GetVersion() <= m.version() {
+	if s.GetVersion() <= m.Version() {
 		return
 	}
 	started := time.Now()
--- a/ctrl/site_mirror_test.go
+++ b/ctrl/site_mirror_test.go
@@ -91,11 +91,11 @@
 		go func() { ended <- follower.mesh.Run(ctx) }()
 		go func() { ended <- other.mesh.Run(ctx) }()
 		time.Sleep(time.Second / 2)
-		require.Equal(t, int64(1), follower.mirror.version())
+		require.Equal(t, int64(1), follower.mirror.Version())
 
 		other.mirror.Take(&wire.SiteState{Version: 2})
 		time.Sleep(applyBound)
-		require.Equal(t, int64(2), follower.mirror.version())
+		require.Equal(t, int64(2), follower.mirror.Version())
 		stop()
 		for range cap(ended) {
 			require.NoError(t, <-ended)
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -51,15 +51,25 @@
 
 // Site is a router's copy of the site's configuration.
 type Site interface {
-	// Wanted returns the version held, and whether a newer one is taken from other
-	// routers.
-	Wanted() (version int64, wanted bool)
+	// Version returns the version held.
+	Version() int64
 	// Above returns the configuration if its version is higher, or nil.
 	Above(version int64) *wire.SiteState
 	// Take puts a configuration in force if it is newer than the one held.
 	Take(s *wire.SiteState)
 }
 
+// Trips learns of a VM's link from the rounds of its mesh.
+type Trips interface {
+	// ObserveRound is called when a round has asked others.
+	ObserveRound(began time.Time)
+	// ObserveTrip is called with the shortest round trip of a round, when its first
+	// reply has come.
+	ObserveTrip(d time.Duration, now time.Time)
+	// ForgetRound is called when all that a round asked have failed.
+	ForgetRound(began time.Time)
+}
+
 // Mesh is what all processes of a site tell each other: who lives, news of
 // endpoints, and, among routers, what is under way and what is left of the
 // budgets. Its exported fields are set before Run.
@@ -78,14 +88,9 @@
 	Budgets  Budgets
 	Site     Site
 	OwnLoads func() map[string]route.Load
-	// RoundBegan is called when a round has asked others, if set.
-	RoundBegan func(now time.Time)
-	// RoundLost is called when all that a round asked have failed, if set.
-	RoundLost func(began time.Time)
-	// ShortestTrip is called with the shortest round trip of each round in which
-	// another process answered, when that answer has come, if set.
-	ShortestTrip func(d time.Duration, now time.Time)
-	Log          zerolog.Logger
+	// Trips is told how long rounds take, if set.
+	Trips Trips
+	Log   zerolog.Logger
 
 	// changed tells that a load has changed that others should know at once.
 	changed chan struct{}
@@ -116,7 +121,7 @@
 	targets := m.targets(now)
 	request := m.request(m.Directory.News())
 	alone := len(m.Nodes.Controls()) == 0
-	trip := m.beginTrip(len(targets))
+	trip := m.beginTrip(len(targets) > 0)
 	var all sync.WaitGroup
 	for i, address := range targets {
 		r := request
@@ -127,14 +132,14 @@
 		}
 		all.Go(func() {
 			if m.tell(ctx, address, r) {
-				trip.replied(m)
+				trip.replied()
 			}
 		})
 	}
 	ended := make(chan struct{})
 	go func() {
 		all.Wait()
-		trip.ended(m)
+		trip.ended()
 		close(ended)
 	}()
 	waitFor(ended, roundTimeout)
@@ -204,7 +209,7 @@
 		r.Balances = m.Budgets.Balances()
 	}
 	if m.Site != nil {
-		r.SiteVersion, r.WantsSite = m.Site.Wanted()
+		r.SiteVersion, r.WantsSite = m.Site.Version(), true
 	}
 	r.Loads = m.loadStates()
 	if m.Crashes != nil {
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -95,33 +95,43 @@
 	require.Equal(t, int64(2_001), a.Living(now.Add(time.Hour))[0].Incarnation)
 }
 
+// notedTrips notes what it is told.
+type notedTrips struct {
+	trips       []time.Duration
+	began, lost []time.Time
+}
+
+// ObserveRound implements Trips.
+func (n *notedTrips) ObserveRound(began time.Time) { n.began = append(n.began, began) }
+
+// ObserveTrip implements Trips.
+func (n *notedTrips) ObserveTrip(d time.Duration, _ time.Time) { n.trips = append(n.trips, d) }
+
+// ForgetRound implements Trips.
+func (n *notedTrips) ForgetRound(began time.Time) { n.lost = append(n.lost, began) }
+
 // TestShortestTrip: of a round only the shortest trip is passed on, when its reply
 // comes; a round in which all fail is told as lost.
 func TestShortestTrip(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var got []time.Duration
-		var began, lost []time.Time
-		m := &Mesh{
-			ShortestTrip: func(d time.Duration, _ time.Time) { got = append(got, d) },
-			RoundBegan:   func(at time.Time) { began = append(began, at) },
-			RoundLost:    func(at time.Time) { lost = append(lost, at) },
-		}
-		answered := m.beginTrip(3)
+		noted := &notedTrips{}
+		m := &Mesh{Trips: noted}
+		answered := m.beginTrip(true)
 		time.Sleep(4 * time.Millisecond)
-		answered.replied(m)
-		require.Equal(t, []time.Duration{4 * time.Millisecond}, got)
+		answered.replied()
+		require.Equal(t, []time.Duration{4 * time.Millisecond}, noted.trips)
 		time.Sleep(26 * time.Millisecond)
-		answered.replied(m)
+		answered.replied()
 		time.Sleep(870 * time.Millisecond)
-		answered.replied(m)
-		answered.ended(m)
-		require.Empty(t, lost)
-
-		m.beginTrip(3).ended(m)
-		m.beginTrip(0).ended(m)
-		require.Equal(t, []time.Duration{4 * time.Millisecond}, got)
-		require.Len(t, began, 2, "a round that asks nobody tells nothing")
-		require.Equal(t, began[1:], lost)
+		answered.replied()
+		answered.ended()
+		require.Empty(t, noted.lost)
+
+		m.beginTrip(true).ended()
+		m.beginTrip(false).ended()
+		require.Equal(t, []time.Duration{4 * time.Millisecond}, noted.trips)
+		require.Len(t, noted.began, 2, "a round that asks nobody tells nothing")
+		require.Equal(t, noted.began[1:], noted.lost)
 	})
 }
 
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -177,14 +177,15 @@
 }
 
 // stages adds where the request's time went: on the link as far as it is known, until
-// the body was read, until the newest attempt began, and until its answer began or it failed.
+// the body was read, until the newest attempt began, and until its answer began or it
+// failed.
 func (f *flight) stages(l *zerolog.Event) *zerolog.Event {
 	q := f.request
 	if q.HeadRead.IsZero() {
 		return l
 	}
 	l = l.Int64("link_ms", q.HeadRead.Sub(q.Arrived).Milliseconds()).Int64("body_ms", q.BodyRead.Sub(q.HeadRead).Milliseconds()).
-		Int64("nth", q.Connection.Requests)
+		Int64("nth", q.Nth)
 	if !f.sentAt.IsZero() {
 		l = l.Int64("cover_ms", f.sentAt.Sub(q.BodyRead).Milliseconds())
 	}
--- a/relay/crowd_test.go
+++ b/relay/crowd_test.go
@@ -130,7 +130,7 @@
 	m := c.mesh("router", c.link, others)
 	traffic := &conn.Traffic{}
 	c.guard = &relay.Guard{LinkBytes: crowdLink, NoticedAfter: crowdNotices, Traffic: traffic, Log: zerolog.Nop()}
-	m.ShortestTrip, m.RoundBegan, m.RoundLost = c.guard.ObserveTrip, c.guard.ObserveRound, c.guard.ForgetRound
+	m.Trips = c.guard
 	for i := range 4 {
 		address := fmt.Sprint("endpoint-", i)
 		c.serve(address, nil, http.HandlerFunc(c.endpoint), false)
--- a/relay/guard.go
+++ b/relay/guard.go
@@ -147,6 +147,11 @@
 func (g *Guard) LinkFull(now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	return g.full(now)
+}
+
+// full is LinkFull. The caller holds mu.
+func (g *Guard) full(now time.Time) bool {
 	return g.recentTrip(now) > fullWait || !g.fullAt.IsZero() && now.Sub(g.fullAt) < g.NoticedAfter
 }
 
--- a/relay/link.go
+++ b/relay/link.go
@@ -69,22 +69,19 @@
 		return
 	}
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.use.sample(g.Traffic, now)
 	share := g.use.share(g.LinkBytes)
 	if share >= fullShare {
 		g.fullAt = now
 	}
-	due := now.Sub(g.use.reportedAt) >= linkReport
-	g.mu.Unlock()
-	wait, full := g.LinkWait(now), g.LinkFull(now)
-	if !due || share < busyShare && !full {
+	full := g.full(now)
+	if now.Sub(g.use.reportedAt) < linkReport || share < busyShare && !full {
 		return
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	g.use.reportedAt = now
-	e := g.Log.Info().Float64("in_kbps", g.use.inRate*bitsPerByte/1e3).Float64("out_kbps", g.use.outRate*bitsPerByte/1e3).
-		Dur("link_ms", wait).Int("silent_rounds", len(g.asked)).Bool("full", full)
+	e := g.Log.Info().Float64("in_kbps", kbps(g.use.inRate)).Float64("out_kbps", kbps(g.use.outRate)).
+		Dur("link_ms", g.recentTrip(now)).Int("silent_rounds", len(g.asked)).Bool("full", full)
 	if !g.tripAt.IsZero() {
 		e = e.Dur("trip_age_ms", now.Sub(g.tripAt))
 	}
@@ -94,17 +91,18 @@
 	e.Msg("link is in use")
 }
 
-const bitsPerByte = 8
+// kbps turns bytes per second into kilobits per second, the unit of a link's settings.
+func kbps(bytes float64) float64 { return bytes * 8 / 1e3 }
 
-// LinkMetrics returns what the link carried in the last full second.
+// LinkMetrics returns what the link carried in the last second.
 func (g *Guard) LinkMetrics() expvar.Var {
 	return expvar.Func(func() any {
-		wait, full := g.LinkWait(time.Now()), g.LinkFull(time.Now())
+		now := time.Now()
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		return map[string]any{
-			"in_bytes_per_s": int64(g.use.inRate), "out_bytes_per_s": int64(g.use.outRate),
-			"wait_ms": wait.Milliseconds(), "full": full, "silent_rounds": len(g.asked),
+			"in_kbps": kbps(g.use.inRate), "out_kbps": kbps(g.use.outRate),
+			"link_ms": g.recentTrip(now).Milliseconds(), "full": g.full(now), "silent_rounds": len(g.asked),
 		}
 	})
 }
--- a/relay/request.go
+++ b/relay/request.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"buckthornpin"
-	"buckthornpin/conn"
 	"buckthornpin/route"
 )
 
@@ -30,13 +29,13 @@
 	// LastEvent is the id of the event behind which the caller goes on; "" at a
 	// stream's start.
 	LastEvent string
-	// Arrived is when the request reached this VM's link; its headers may have been
-	// read later.
+	// Arrived is when the request's age begins: when its headers were read, less what
+	// it and its answer wait on the VM's link.
 	Arrived time.Time
 	// HeadRead and BodyRead are when the process had read the headers and the body.
 	HeadRead, BodyRead time.Time
-	// Connection is what the caller's connection has carried.
-	Connection conn.Use
+	// Nth counts the requests of the caller's connection, this one included.
+	Nth int64
 	// Deadline is when the caller stops waiting; zero where it doesn't say.
 	Deadline time.Time
 }
@@ -131,7 +130,7 @@
 	// Refused says that the request can't be carried, and Refusal why.
 	Refused bool
 	Refusal Refusal
-	// Arrived is when the request reached this VM's link.
+	// Arrived is when the request's age begins, see Request.
 	Arrived time.Time
 	// BodyBy is when the body has to be there; zero if nothing bounds it.
 	BodyBy time.Time
--- a/relay/router.go
+++ b/relay/router.go
@@ -88,7 +88,7 @@
 	}
 	t := r.Site()
 	if t == nil {
-		return r.refuseUnread(a, id, Refusal{Reason: ReasonNoConfiguration, RetryAfter: time.Second})
+		return r.refuseUnread(a, Refusal{Reason: ReasonNoConfiguration, RetryAfter: comeBack}, r.Log.Info().Str("request", id))
 	}
 	to := t.Route(host, path)
 	if to == nil {
@@ -98,18 +98,15 @@
 	if r.Guard == nil || r.Guard.Admits(bytes, to.Objective, now) {
 		return a
 	}
-	a.Refused, a.Refusal = true, Refusal{Reason: ReasonOverload, RetryAfter: elsewhere}
-	r.Log.Info().Str("request", id).Str("outcome", string(ReasonOverload)).Str("route", to.Name).Int64("bytes", bytes).
-		Dur("lag_ms", r.Guard.Lag()).Dur("link_ms", r.Guard.LinkWait(now)).Msg("request was turned away")
-	r.metrics.count(ReasonOverload)
-	return a
+	return r.refuseUnread(a, Refusal{Reason: ReasonOverload, RetryAfter: elsewhere}, r.Log.Info().Str("request", id).
+		Str("route", to.Name).Int64("bytes", bytes).Dur("lag_ms", r.Guard.Lag()).Dur("link_ms", now.Sub(a.Arrived)))
 }
 
 // refuseUnread refuses a request before its body is read. The connection ends with it,
 // so that the caller's next request reaches another router.
-func (r *Router) refuseUnread(a Admission, id string, f Refusal) Admission {
+func (r *Router) refuseUnread(a Admission, f Refusal, line *zerolog.Event) Admission {
 	a.Refused, a.Refusal = true, f
-	r.Log.Info().Str("request", id).Str("outcome", string(f.Reason)).Dur("retry_after_ms", f.RetryAfter).Msg("request was refused unread")
+	line.Str("outcome", string(f.Reason)).Dur("retry_after_ms", f.RetryAfter).Msg("request was turned away")
 	r.metrics.count(f.Reason)
 	return a
 }
