Tests: the network in memory serves by itself, and is dialed with the product's client

Three tests made the same server and client of HTTP/2 without TLS; a test now plays the product's own pings too.

--- a/conn/ping_test.go
+++ b/conn/ping_test.go
@@ -44,10 +44,7 @@
 		ctx, stop := context.WithCancel(t.Context())
 		var n stand.Network
 		link := &stand.Link{BytesPerSecond: pingLink}
-		s := &http.Server{Protocols: new(http.Protocols), Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("x")) })} //nolint:gosec // a test's server.
-		s.Protocols.SetUnencryptedHTTP2(true)
-		l := n.Listen("control:80", nil)
-		go func() { _ = s.Serve(l) }()
+		s := n.Serve("control:80", nil, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("x")) }))
 		fill(ctx, t, &n, link)
 		time.Sleep(5 * time.Second)
 
--- a/ctrl/site_mirror_test.go
+++ b/ctrl/site_mirror_test.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"buckthornpin/conn"
 	"buckthornpin/event"
 	"buckthornpin/peer"
 	"buckthornpin/site"
@@ -45,12 +46,9 @@
 
 func newMirrored(t *testing.T, n *stand.Network, address string) mirrored {
 	t.Helper()
-	transport := &http.Transport{Protocols: new(http.Protocols), DialContext: func(ctx context.Context, _, to string) (net.Conn, error) {
-		return n.Dial(ctx, nil, to)
-	}}
-	transport.Protocols.SetUnencryptedHTTP2(true)
-	t.Cleanup(transport.CloseIdleConnections)
-	client := &http.Client{Transport: transport}
+	dialer := &conn.Dialer{Dial: func(ctx context.Context, to string) (net.Conn, error) { return n.Dial(ctx, nil, to) }}
+	client := dialer.Internal()
+	t.Cleanup(client.CloseIdleConnections)
 	m := &SiteMirror{
 		Client: &Client{Addresses: []string{"control:80"}, HTTP: client, Scheme: "http"}, Router: address, Log: zerolog.Nop(),
 		Decode: func(*wire.SiteState) (site.Configuration, error) { return site.Configuration{}, nil },
@@ -63,16 +61,13 @@
 	out.mesh.Open()
 	mux := http.NewServeMux()
 	out.mesh.Register(mux)
-	serveMemory(t, n, address, mux)
+	serve(t, n, address, mux)
 	return out
 }
 
-func serveMemory(t *testing.T, n *stand.Network, address string, h http.Handler) {
+func serve(t *testing.T, n *stand.Network, address string, h http.Handler) {
 	t.Helper()
-	s := &http.Server{Handler: h, Protocols: new(http.Protocols)} //nolint:gosec // a test's server.
-	s.Protocols.SetUnencryptedHTTP2(true)
-	l := n.Listen(address, nil)
-	go func() { _ = s.Serve(l) }()
+	s := n.Serve(address, nil, h)
 	t.Cleanup(func() { _ = s.Close() })
 }
 
@@ -84,7 +79,7 @@
 		var n stand.Network
 		mux := http.NewServeMux()
 		mux.Handle(wire.NewControlHandler(&hangingLeader{}))
-		serveMemory(t, &n, "control:80", mux)
+		serve(t, &n, "control:80", mux)
 		follower, other := newMirrored(t, &n, "router-1:80"), newMirrored(t, &n, "router-2:80")
 		ended := make(chan error, 3)
 		go func() { ended <- follower.mirror.Run(ctx) }()
--- a/relay/crowd_test.go
+++ b/relay/crowd_test.go
@@ -35,6 +35,8 @@
 	crowdSlack = 500 * time.Millisecond
 	// crowdNotices is the balancer's time: two checks, a second apart, and a margin.
 	crowdNotices = 2300 * time.Millisecond
+	// crowdSilent is half of the contact time of a site with such links.
+	crowdSilent = 2 * time.Second
 )
 
 // crowdKind is a kind of request with the size of its body.
@@ -79,28 +81,22 @@
 	return c.network.Dial(ctx, c.link, address)
 }
 
-func (c *crowd) serve(address string, l *stand.Link, h http.Handler, h2 bool) {
-	s := &http.Server{Handler: h, Protocols: new(http.Protocols)} //nolint:gosec // a test's server.
-	s.Protocols.SetHTTP1(true)
-	s.Protocols.SetUnencryptedHTTP2(h2)
-	listener := c.network.Listen(address, l)
-	go func() { _ = s.Serve(listener) }()
+func (c *crowd) serve(address string, l *stand.Link, h http.Handler) {
+	s := c.network.Serve(address, l, h)
 	c.closers = append(c.closers, func() { _ = s.Close() })
 }
 
 func (c *crowd) mesh(address string, l *stand.Link, known []string) *peer.Mesh {
 	nodes := &peer.Nodes{Self: peer.Node{VM: address, Address: address, Incarnation: 1}, AliveFor: time.Minute, ForgetAfter: time.Hour}
 	directory := &peer.Directory{Events: &event.Line{VM: address, Clock: &event.Clock{}}, DeadAfter: time.Hour, Addresses: func() []string { return nil }}
-	transport := &http.Transport{Protocols: new(http.Protocols), DialContext: func(ctx context.Context, _, to string) (net.Conn, error) {
-		return c.network.Dial(ctx, l, to)
-	}}
-	transport.Protocols.SetUnencryptedHTTP2(true)
-	c.closers = append(c.closers, transport.CloseIdleConnections)
-	m := &peer.Mesh{Nodes: nodes, Directory: directory, HTTP: &http.Client{Transport: transport}, Scheme: "http", Seeds: func() []string { return known }, Log: zerolog.Nop()}
+	dialer := &conn.Dialer{SilentAfter: crowdSilent, Dial: func(ctx context.Context, to string) (net.Conn, error) { return c.network.Dial(ctx, l, to) }}
+	client := dialer.Internal()
+	c.closers = append(c.closers, client.CloseIdleConnections)
+	m := &peer.Mesh{Nodes: nodes, Directory: directory, HTTP: client, Scheme: "http", Seeds: func() []string { return known }, Log: zerolog.Nop()}
 	m.Open()
 	mux := http.NewServeMux()
 	m.Register(mux)
-	c.serve(address, l, mux, true)
+	c.serve(address, l, mux)
 	return m
 }
 
@@ -133,7 +129,7 @@
 	m.Trips = c.guard
 	for i := range 4 {
 		address := fmt.Sprint("endpoint-", i)
-		c.serve(address, nil, http.HandlerFunc(c.endpoint), false)
+		c.serve(address, nil, http.HandlerFunc(c.endpoint))
 		m.Directory.Put(buckthornpin.Endpoint{ID: address, Address: address, Services: []string{"app"}, Capacity: 100, Sequence: 1, Incarnation: 1, SeenAt: time.Now()})
 	}
 	table := site.NewTable(c.configuration())
--- a/stand/network.go
+++ b/stand/network.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -61,6 +62,8 @@
 	packetBytes = 1448
 	// packetHead is what a packet carries besides.
 	packetHead = 66
+	// headerTimeout is how long a client may take for its headers: longer than tests play.
+	headerTimeout = time.Hour
 	// backlog is the number of connections that wait for a listener.
 	backlog = 512
 )
@@ -77,6 +80,16 @@
 	return out
 }
 
+// Serve serves HTTP/1.1 and HTTP/2 without TLS at an address on a link.
+func (n *Network) Serve(address string, l *Link, h http.Handler) *http.Server {
+	s := &http.Server{Handler: h, Protocols: new(http.Protocols), ReadHeaderTimeout: headerTimeout}
+	s.Protocols.SetHTTP1(true)
+	s.Protocols.SetUnencryptedHTTP2(true)
+	listener := n.Listen(address, l)
+	go func() { _ = s.Serve(listener) }()
+	return s
+}
+
 // Dial connects a VM's link to an address. The handshake passes both links.
 func (n *Network) Dial(ctx context.Context, from *Link, address string) (net.Conn, error) {
 	n.mu.Lock()
