Log the account of a budget with each refusal

The line of a refusal showed the router's balance and what is free, but neither the total nor what is spent.

Control now returns with each grant the total, what all processes have reported as spent and what the living ones hold; the line of a refused request shows total, spent and the rest that nobody accounts for. No decision changes.

--- a/budget/share.go
+++ b/budget/share.go
@@ -33,6 +33,8 @@
 	largestBound int64
 	// free is the number of tokens that no router holds, as last reported by control.
 	free int64
+	// account is control's view of the whole budget, as of its last answer.
+	account account
 	// waiting is the sum of the bounds of the requests that wait for tokens.
 	waiting int64
 	// peers holds the last known balances of other routers by address.
@@ -47,6 +49,14 @@
 	acquiring bool
 }
 
+// account is control's view of a whole budget, in tokens.
+type account struct {
+	total int64
+	// spent is what all processes have reported as spent, held what the living ones
+	// hold unspent.
+	spent, held int64
+}
+
 type peerBalance struct {
 	tokens int64
 	at     time.Time
--- a/budget/wallet.go
+++ b/budget/wallet.go
@@ -162,7 +162,11 @@
 	default:
 		m.metrics.refusedElsewhere.Add(1)
 	}
-	return buckthornpin.ReservationResult{Coverage: cover, Balance: s.balance(), OtherBalances: s.peerTokens(), Free: s.free, ControlAge: time.Since(m.lastAnswer)}
+	return buckthornpin.ReservationResult{
+		Coverage: cover, Balance: s.balance(), OtherBalances: s.peerTokens(), Free: s.free,
+		Total: s.account.total, Spent: s.account.spent, Unaccounted: s.account.total - s.free - s.account.spent - s.account.held,
+		ControlAge: time.Since(m.lastAnswer),
+	}
 }
 
 // Settle implements relay.Funds.
--- a/cover.go
+++ b/cover.go
@@ -23,6 +23,11 @@
 	// number that the other routers last reported to hold. Free is the number that
 	// no router held according to the last reply of the control group.
 	Balance, OtherBalances, Free int64
+	// Total is the prepaid total and Spent the part of it that is reported as spent.
+	// Unaccounted is what is neither spent nor free nor held by a living router: tokens
+	// reserved for requests in progress, on their way between routers, or lost with
+	// routers that have ended.
+	Total, Spent, Unaccounted int64
 	// ControlAge is the time since the last reply of the control group.
 	ControlAge time.Duration
 }
--- a/ledger/share.go
+++ b/ledger/share.go
@@ -115,9 +115,37 @@
 	return &wire.ShareGrant{
 		Organisation: r.GetOrganisation(), Granted: s.GetGranted(), Recalled: a.outstanding > a.total,
 		Free: max(a.total-a.outstanding, 0), Target: target,
+		Total: a.total, Spent: a.spent(), Held: a.held(c.GetHorizonMs(), l.nowMS),
 	}
 }
 
+// spent returns the number of tokens that all processes have reported as spent.
+func (a *allowance) spent() int64 {
+	sum := int64(0)
+	for _, s := range a.shares {
+		sum += s.GetSpent()
+	}
+	return sum
+}
+
+// held returns the number of unspent tokens that the processes counted in the
+// division have reported to hold.
+func (a *allowance) held(horizonMS, nowMS int64) int64 {
+	sum := int64(0)
+	for _, s := range a.shares {
+		if isCounted(s, horizonMS, nowMS) {
+			sum += max(s.GetBalance(), 0)
+		}
+	}
+	return sum
+}
+
+// isCounted reports whether a process is taken into account when the total is
+// divided.
+func isCounted(s *wire.ShareState, horizonMS, nowMS int64) bool {
+	return s.GetAtMs() > 0 && nowMS-s.GetAtMs() <= silentHorizons*horizonMS
+}
+
 // excludeEarlierProcesses stops counting a router's earlier processes when the
 // total is divided.
 func (a *allowance) excludeEarlierProcesses(k shareKey) {
@@ -139,7 +167,7 @@
 func (a *allowance) target(s *wire.ShareState, largest, horizonMS, nowMS int64) int64 {
 	unspent, totalRate, routers := max(a.total-a.outstanding, 0), int64(0), int64(0)
 	for _, other := range a.shares {
-		if other.GetAtMs() > 0 && nowMS-other.GetAtMs() <= silentHorizons*horizonMS {
+		if isCounted(other, horizonMS, nowMS) {
 			unspent += max(other.GetBalance(), 0)
 			totalRate += other.GetRate()
 			routers++
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -110,7 +110,8 @@
 		return true
 	}
 	f.log("not_covered").Int64("tokens", maxTokens).Int64("balance", c.Balance).Int64("other_routers", c.OtherBalances).
-		Int64("free", c.Free).Dur("control_age_ms", c.ControlAge).Msg("budget doesn't cover the request")
+		Int64("free", c.Free).Int64("total", c.Total).Int64("spent", c.Spent).Int64("unaccounted", c.Unaccounted).
+		Dur("control_age_ms", c.ControlAge).Msg("budget doesn't cover the request")
 	if c.Coverage == buckthornpin.BudgetSpent {
 		f.refuse(ReasonBudgetSpent, 0)
 		return false
