Let a request that arrives during an acquisition acquire tokens itself

Callers saw a refusal (429) although control had tokens for the request. While one request acquires tokens, others wait for it. The acquisition counted as failed if the waiting requests together lacked tokens at its end, those that had come meanwhile included, and a failure refuses requests for 200 ms without another attempt. It now counts as failed only if the request that acquires stays uncovered.

TestRequestDuringAnAcquisition failed before.

--- a/budget/borrow.go
+++ b/budget/borrow.go
@@ -27,7 +27,7 @@
 		s.acquiring = s.acquiring || mustAcquire
 		m.mu.Unlock()
 		if mustAcquire {
-			m.acquire(ctx, organisation, s)
+			m.acquire(ctx, organisation, s, tokens)
 			attempted = true
 			continue
 		}
@@ -49,12 +49,13 @@
 }
 
 // acquire asks control for tokens if it has answered recently, and then the other
-// routers in descending order of balance.
-func (m *ShareManager) acquire(ctx context.Context, organisation string, s *share) {
+// routers in descending order of balance. It has failed if they don't cover a request
+// of the given tokens.
+func (m *ShareManager) acquire(ctx context.Context, organisation string, s *share, tokens int64) {
 	defer func() {
 		m.mu.Lock()
 		s.acquiring = false
-		if s.waiting > s.balance() {
+		if s.balance() < tokens {
 			s.failedAt = time.Now()
 		}
 		s.notifyWaiters()
