Take the unused shares of ended router processes back

Cause: what control has granted to a router process stays booked for it, and nothing returned it when the process was killed. A fault of all routers loses up to half of all that isn't spent, and each single kill its part. Ruled out: a slow return (no_configuration ends 1.4 s after the start), and spending by right for the large organisations (it holds for one small one).

A router now sets itself a limit with each report: tokens that it will have used at most at a reading of its VM's boot clock. It keeps to all limits that control may hold, and it sets none while control is silent, so that it can use its whole share in a cut. The next process on the VM reports the reading at its start, after it has opened its listeners. A reading of the same boot before the end of the limit proves that the earlier process never used more; control returns the rest and ignores what still arrives of that process. No rate of any clock matters, only the order of two readings of one.

What a router may use between its last report and its restart, 2.2 s of demand and a request, is still lost. TestTakenBackSharesAreNotSpentTwice: 10,000 schedules pass; it fails with limits not kept, or with only the newest one kept.

Some requests wait or go elsewhere in the first 3.4 s of a cut.

--- a/budget/borrow.go
+++ b/budget/borrow.go
@@ -14,7 +14,7 @@
 	attempted := false
 	for {
 		m.mu.Lock()
-		if s.reserve(tokens, time.Now()) {
+		if s.reserve(tokens, time.Now(), m.Clock.reading()) {
 			m.mu.Unlock()
 			return buckthornpin.Covered
 		}
@@ -55,7 +55,7 @@
 	defer func() {
 		m.mu.Lock()
 		s.acquiring = false
-		if s.balance() < tokens {
+		if s.available(m.Clock.reading()) < tokens {
 			s.failedAt = time.Now()
 		}
 		s.notifyWaiters()
@@ -78,12 +78,12 @@
 	}
 }
 
-// shortfall returns the number of tokens that the waiting requests need beyond the
-// balance.
+// shortfall returns the number of tokens that the waiting requests need beyond those
+// that are available.
 func (m *ShareManager) shortfall(s *share) int64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return s.waiting - s.balance()
+	return s.waiting - s.available(m.Clock.reading())
 }
 
 // lenders returns the routers to ask for tokens on behalf of one request.
@@ -120,8 +120,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	out := make([]*wire.BalanceState, 0, len(m.shares))
+	reading := m.Clock.reading()
 	for name, s := range m.shares {
-		out = append(out, &wire.BalanceState{Organisation: name, Tokens: s.balance()})
+		out = append(out, &wire.BalanceState{Organisation: name, Tokens: s.available(reading)})
 	}
 	return out
 }
@@ -140,9 +141,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.share(r.GetOrganisation())
-	tokens := donation(s.balance(), r.GetTokens(), s.rate.perSecond(time.Now()), float64(r.GetRate()))
-	total := s.donate(peerKey{address: r.GetVm(), incarnation: r.GetIncarnation()}, tokens)
-	return &wire.TransferReply{Incarnation: m.Incarnation, Transferred: total, Balance: s.balance()}
+	reading := m.Clock.reading()
+	tokens := donation(s.available(reading), r.GetTokens(), s.rate.perSecond(time.Now()), float64(r.GetRate()))
+	total := s.donate(peerKey{address: r.GetVm(), incarnation: r.GetIncarnation()}, tokens, reading)
+	return &wire.TransferReply{Incarnation: m.Incarnation, Transferred: total, Balance: s.available(reading)}
 }
 
 // AcceptHandOver implements peer.Budgets.
--- a/budget/escrow_test.go
+++ b/budget/escrow_test.go
@@ -31,12 +31,16 @@
 	version         int64
 	nowMS           int64
 	lastIncarnation int64
+	limitTime       time.Duration
 	// delayed holds messages and commands that may still be delivered, any number of times.
 	delayed []func()
 }
 
 func newFaultSimulation(seed uint64, routers int) *faultSimulation {
-	sim := &faultSimulation{random: rand.New(rand.NewPCG(seed, 1)), control: newControl(1_000_000), total: 1_000_000, highestTotal: 1_000_000, version: 1, nowMS: 1}
+	sim := &faultSimulation{
+		random: rand.New(rand.NewPCG(seed, 1)), control: newControl(1_000_000), total: 1_000_000, highestTotal: 1_000_000, version: 1, nowMS: 1,
+		limitTime: 3 * time.Second,
+	}
 	for i := range routers {
 		sim.routers = append(sim.routers, nil)
 		sim.cut = append(sim.cut, false)
@@ -50,10 +54,14 @@
 	sim.lastIncarnation++
 	sim.reserved[i] = 0
 	sim.routers[i] = &ShareManager{
-		Lenders: noLenders{}, Address: fmt.Sprintf("router-%d", i), Incarnation: sim.lastIncarnation, Horizon: 9 * time.Second, Log: zerolog.Nop(),
+		Lenders: noLenders{}, Address: fmt.Sprintf("router-%d", i), Incarnation: sim.lastIncarnation, Horizon: 3 * sim.limitTime,
+		Clock: BootClock{Boot: 1, ReadingNS: sim.reading}, LimitTime: sim.limitTime, Log: zerolog.Nop(),
 	}
 }
 
+// reading returns the reading of the boot clock of all VMs. It rises with each step.
+func (sim *faultSimulation) reading() int64 { return sim.nowMS * int64(time.Millisecond) }
+
 // Execute implements Committer. Commands or their results get lost, and commands may
 // be applied again later.
 func (sim *faultSimulation) Execute(_ context.Context, commands []*wire.Command) ([]*wire.Result, error) {
@@ -80,7 +88,7 @@
 }
 
 func (sim *faultSimulation) step() {
-	sim.nowMS += int64(sim.random.IntN(500))
+	sim.nowMS += 1 + int64(sim.random.IntN(500))
 	i := sim.random.IntN(len(sim.routers))
 	r := sim.routers[i]
 	switch sim.random.IntN(12) {
@@ -110,7 +118,7 @@
 
 func (sim *faultSimulation) reserve(i int, r *ShareManager) {
 	tokens := int64(1 + sim.random.IntN(60_000))
-	if r.share("fleet").reserve(tokens, time.Now()) {
+	if r.share("fleet").reserve(tokens, time.Now(), sim.reading()) {
 		sim.reserved[i] += tokens
 		// The endpoint may generate all of the tokens even if the router is killed.
 		sim.spent += tokens
@@ -160,7 +168,7 @@
 	}
 	r := sim.routers[from]
 	s := r.share("fleet")
-	total := s.donate(peerKey{address: sim.routers[to].Address}, s.balance())
+	total := s.donate(peerKey{address: sim.routers[to].Address}, s.balance(), sim.reading())
 	request := &wire.GiveRequest{Vm: r.Address, Incarnation: r.Incarnation, Organisation: "fleet", Transferred: total}
 	successor := sim.routers[to]
 	sim.deliver(func() { successor.AcceptHandOver(request) })
@@ -203,3 +211,65 @@
 		}
 	}
 }
+
+// usableTokens returns the tokens that were spent or can still be spent: those that the
+// running routers hold and those that control can still grant.
+func (sim *faultSimulation) usableTokens() int64 {
+	usable := sim.spent + sim.total
+	for _, s := range sim.control.ledger.Shares() {
+		usable -= s.GetGranted() - s.GetReturned()
+	}
+	for _, r := range sim.routers {
+		usable += r.share("fleet").balance()
+	}
+	return usable
+}
+
+// stepTowardRestart makes a step of a schedule in which routers spend what they may and
+// are restarted often.
+func (sim *faultSimulation) stepTowardRestart() {
+	sim.nowMS += 1 + int64(sim.random.IntN(500))
+	i, other := sim.random.IntN(len(sim.routers)), sim.random.IntN(len(sim.routers))
+	switch sim.random.IntN(13) {
+	case 12:
+		sim.nowMS += sim.random.Int64N(sim.limitTime.Milliseconds() + 1)
+	case 0, 1:
+		sim.start(i)
+		sim.report(i)
+	case 2, 3, 4:
+		sim.report(i)
+	case 5:
+		sim.transfer(i, other)
+	case 6:
+		sim.handOver(i, other)
+	case 7:
+		// Of the delayed messages, the newest are those of running processes.
+		if recent := min(len(sim.delayed), 4); recent > 0 {
+			sim.delayed[len(sim.delayed)-1-sim.random.IntN(recent)]()
+		}
+	case 8:
+		sim.settle(i, sim.routers[i])
+	default:
+		for range 4 {
+			sim.reserve(i, sim.routers[i])
+		}
+	}
+}
+
+// TestTakenBackSharesAreNotSpentTwice guards against taking back tokens of an ended router
+// process that it has spent or handed to another router. The limits of the processes hold
+// for a few steps or for many, so that the next process on a VM reports before or after
+// their end.
+func TestTakenBackSharesAreNotSpentTwice(t *testing.T) {
+	for seed := range uint64(*schedules) {
+		sim := newFaultSimulation(seed, 3)
+		sim.limitTime = []time.Duration{time.Second, 4 * time.Second, 20 * time.Second}[seed%3]
+		for i := range sim.routers {
+			sim.start(i)
+		}
+		for n := range 400 {
+			sim.stepTowardRestart()
+			require.LessOrEqual(t, sim.usableTokens(), sim.total, "seed %d, step %d", seed, n)
+		}
+	}
+}
--- a/budget/fault_day_test.go
+++ b/budget/fault_day_test.go
@@ -119,7 +119,8 @@
 	r.incarnation++
 	ctx, r.stop = context.WithCancel(ctx)
 	m := &ShareManager{
-		Control: r, Lenders: r, Address: r.address, Incarnation: r.incarnation, Horizon: 9 * time.Second, Log: zerolog.Nop(),
+		Control: r, Lenders: r, Address: r.address, Incarnation: r.incarnation, Horizon: 9 * time.Second,
+		Clock: BootClock{Boot: 1, ReadingNS: func() int64 { return time.Now().UnixNano() }}, LimitTime: 3 * time.Second, Log: zerolog.Nop(),
 	}
 	m.Open()
 	var names []string
--- /dev/null
+++ b/budget/limit_test.go
@@ -0,0 +1,101 @@
+package budget
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"buckthornpin"
+)
+
+const (
+	testLimitTime = 3 * time.Second
+	testBudget    = 1_000_000
+)
+
+// newLimitedManager returns a manager on a VM with a boot clock, with a share on whose use
+// control knows a limit.
+func newLimitedManager(c *ledgerControl, incarnation int64) *ShareManager {
+	m := newShareManager(c, "a")
+	m.Incarnation = incarnation
+	m.Clock = BootClock{Boot: 1, ReadingNS: func() int64 { return time.Now().UnixNano() }}
+	m.LimitTime = testLimitTime
+	for range 2 {
+		m.report(context.Background(), []string{"fleet"})
+	}
+	return m
+}
+
+// TestRequestAboveTheLimitAsksControl checks that a request which the share covers but its
+// limit doesn't is covered after one report.
+func TestRequestAboveTheLimitAsksControl(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newLimitedManager(newControl(testBudget), 1)
+		tokens := m.share("fleet").balance()
+		require.Less(t, m.share("fleet").available(m.Clock.ReadingNS()), tokens)
+		require.Equal(t, buckthornpin.Covered, reserve(t, m, tokens))
+	})
+}
+
+// TestLimitsEndDuringAnOutage checks that a router without control keeps to its limit while
+// it holds and then uses its whole share.
+func TestLimitsEndDuringAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newControl(testBudget)
+		m := newLimitedManager(c, 1)
+		tokens := m.share("fleet").balance()
+		c.cut = true
+		require.NotEqual(t, buckthornpin.Covered, reserve(t, m, tokens))
+		for range 20 {
+			time.Sleep(ReportInterval)
+			m.report(context.Background(), []string{"fleet"})
+		}
+		require.Equal(t, buckthornpin.Covered, reserve(t, m, tokens))
+	})
+}
+
+// TestStopDuringAnOutageHandsOverBehindTheLimit checks that a router which stops while
+// control can't be reached hands over what its limit allows at once and the rest when the
+// limit has ended.
+func TestStopDuringAnOutageHandsOverBehindTheLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newControl(testBudget)
+		stopping, remaining := newLimitedManager(c, 1), newShareManager(c, "b")
+		stopping.Lenders = &successor{manager: remaining, lost: 1}
+		held := stopping.share("fleet").balance()
+		require.Positive(t, held)
+		c.cut = true
+		started := time.Now()
+		stopping.Close(context.Background(), []string{"b"})
+		require.Equal(t, held, remaining.share("fleet").balance())
+		require.LessOrEqual(t, time.Since(started), testLimitTime)
+	})
+}
+
+// TestStopHandsOverAtOnce checks that a router which stops while control answers hands its
+// whole share over without waiting for the end of its limit, and that control then takes
+// back nothing of it.
+func TestStopHandsOverAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newControl(testBudget)
+		stopping, remaining := newLimitedManager(c, 1), newShareManager(c, "b")
+		stopping.Lenders = &successor{manager: remaining}
+		held := stopping.share("fleet").balance()
+		started := time.Now()
+		stopping.Close(context.Background(), []string{"b"})
+		require.Zero(t, time.Since(started))
+		require.Equal(t, held, remaining.share("fleet").balance())
+
+		time.Sleep(time.Millisecond)
+		next := newLimitedManager(c, 2)
+		require.Less(t, next.share("fleet").balance()+remaining.share("fleet").balance(), int64(testBudget))
+		granted := int64(0)
+		for _, s := range c.ledger.Shares() {
+			granted += s.GetGranted() - s.GetReturned()
+		}
+		require.GreaterOrEqual(t, granted, remaining.share("fleet").balance()+next.share("fleet").balance())
+	})
+}
--- a/budget/report.go
+++ b/budget/report.go
@@ -50,9 +50,19 @@
 	}
 	c := &wire.ReportShares{Router: m.Address, Incarnation: m.Incarnation, HorizonMs: m.Horizon.Milliseconds()}
 	m.mu.Lock()
-	c.Closing = m.closing
+	now := time.Now()
+	if m.startedNS == 0 {
+		m.startedNS = m.Clock.reading()
+	}
+	c.Closing, c.Boot, c.StartedNs = m.closing, m.Clock.Boot, m.startedNS
 	for _, name := range organisations {
-		c.Shares = append(c.Shares, m.share(name).report(name, time.Now()))
+		s := m.share(name)
+		r := s.report(name, now)
+		r.Limit = m.nextLimit(s, now)
+		c.Shares = append(c.Shares, r)
+	}
+	if m.unansweredSince.IsZero() {
+		m.unansweredSince = now
 	}
 	m.mu.Unlock()
 	results, err := m.Control.Execute(ctx, []*wire.Command{{Op: &wire.Command_ReportShares{ReportShares: c}}})
@@ -65,14 +75,28 @@
 		return
 	}
 	m.metrics.reports.Add(1)
+	m.confirmLimits(c.GetShares())
 	m.applyGrants(results[0].GetGrants())
 }
 
+// confirmLimits records that control has applied the limits of a report. A report
+// without a limit has removed the earlier ones.
+func (m *ShareManager) confirmLimits(reports []*wire.ShareReport) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, r := range reports {
+		s := m.share(r.GetOrganisation())
+		if r.GetLimit() != nil {
+			s.confirmLimit(r.GetLimit())
+		}
+	}
+}
+
 func (s *share) report(name string, now time.Time) *wire.ShareReport {
 	s.dirty = false
 	return &wire.ShareReport{
 		Organisation: name, Spent: s.spent, Returned: s.returned, Balance: s.balance(),
-		Rate: int64(s.rate.perSecond(now)), Need: max(s.waiting-s.balance(), 0), Largest: s.largestBound,
+		Rate: int64(s.rate.perSecond(now)), Need: max(s.waiting-s.balance(), 0), Largest: s.largestBound, Received: s.receivedTotal,
 	}
 }
 
@@ -80,6 +104,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.lastAnswer = time.Now()
+	m.unansweredSince = time.Time{}
 	for _, g := range grants {
 		s := m.share(g.GetOrganisation())
 		s.grant(g.GetGranted())
@@ -88,7 +113,7 @@
 		switch {
 		case g.GetRecalled():
 			s.giveBack(s.balance())
-		case s.waiting == 0 && s.balance()*surplusDivisor > (surplusDivisor+1)*g.GetTarget():
+		case !m.closing && s.waiting == 0 && s.balance()*surplusDivisor > (surplusDivisor+1)*g.GetTarget():
 			s.giveBack(s.balance() - g.GetTarget())
 		}
 	}
--- a/budget/share.go
+++ b/budget/share.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"buckthornpin/wire"
 )
 
 // peerKey identifies a router process that tokens were exchanged with.
@@ -41,6 +43,10 @@
 	peers map[string]peerBalance
 	// changed is closed and replaced when waiting requests should check again.
 	changed chan struct{}
+	// limits are the limits on the share's use that control may act on: the last one that
+	// it has confirmed, and later ones.
+	limits        []*wire.UseLimit
+	limitSequence int64
 	// dirty is true if the newest counts haven't been reported to control.
 	dirty bool
 	// failedAt is when acquiring tokens last failed.
@@ -66,13 +72,15 @@
 	return &share{received: map[peerKey]int64{}, donated: map[peerKey]int64{}, peers: map[string]peerBalance{}, changed: make(chan struct{})}
 }
 
-// balance returns the number of tokens that can still be reserved.
+// balance returns the number of tokens that are held and not reserved.
 func (s *share) balance() int64 {
 	return s.granted + s.receivedTotal - s.returned - s.donatedTotal - s.spent - s.reserved
 }
 
-func (s *share) reserve(tokens int64, now time.Time) bool {
-	if s.balance() < tokens {
+// reserve reserves tokens for a request if that many are available at a reading of the
+// boot clock.
+func (s *share) reserve(tokens int64, now time.Time, readingNS int64) bool {
+	if s.available(readingNS) < tokens {
 		return false
 	}
 	s.reserved += tokens
@@ -111,10 +119,10 @@
 	s.notifyWaiters()
 }
 
-// donate hands tokens to another process and returns the cumulative count of tokens
-// donated to it.
-func (s *share) donate(to peerKey, tokens int64) int64 {
-	tokens = max(min(tokens, s.balance()), 0)
+// donate hands tokens that are available at a reading of the boot clock to another
+// process and returns the cumulative count of tokens donated to it.
+func (s *share) donate(to peerKey, tokens, readingNS int64) int64 {
+	tokens = max(min(tokens, s.available(readingNS)), 0)
 	s.donated[to] += tokens
 	s.donatedTotal += tokens
 	s.dirty = s.dirty || tokens > 0
--- a/budget/wallet.go
+++ b/budget/wallet.go
@@ -70,14 +70,25 @@
 	Incarnation int64
 	// Horizon is how long the shares should last without control.
 	Horizon time.Duration
-	Log     zerolog.Logger
-
-	mu         sync.Mutex
-	shares     map[string]*share
+	// Clock is the boot clock of this VM.
+	Clock BootClock
+	// LimitTime is how long a limit on the use of a share holds. A share is lost if the
+	// next process on the VM starts later than that after the last report.
+	LimitTime time.Duration
+	Log       zerolog.Logger
+
+	mu     sync.Mutex
+	shares map[string]*share
+	// startedNS is the reading of the clock at the first report. The process listens by
+	// then, so that no earlier process of the VM is left.
+	startedNS  int64
 	lastAnswer time.Time
-	rounds     int
-	metrics    shareMetrics
-	reportNow  chan struct{}
+	// unansweredSince is when the first report after control's last answer was sent, or
+	// zero.
+	unansweredSince time.Time
+	rounds          int
+	metrics         shareMetrics
+	reportNow       chan struct{}
 	// closing is true once the process is stopping and accepts no more tokens.
 	closing bool
 }
@@ -137,7 +148,7 @@
 		m.mu.Unlock()
 		return buckthornpin.ReservationResult{Coverage: buckthornpin.MaybeCoveredElsewhere}
 	}
-	if s.reserve(tokens, time.Now()) {
+	if s.reserve(tokens, time.Now(), m.Clock.reading()) {
 		m.mu.Unlock()
 		m.metrics.covered.Add(1)
 		return buckthornpin.ReservationResult{Coverage: buckthornpin.Covered}
--- a/ledger/share.go
+++ b/ledger/share.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"buckthornpin/wire"
 )
@@ -93,15 +94,24 @@
 	a := l.getOrCreateAllowance(r.GetOrganisation())
 	s := a.shares[k]
 	if s == nil {
-		s = &wire.ShareState{Organisation: r.GetOrganisation(), Router: k.router, Incarnation: k.incarnation}
-		a.excludeEarlierProcesses(k)
+		s = &wire.ShareState{
+			Organisation: r.GetOrganisation(), Router: k.router, Incarnation: k.incarnation, Boot: c.GetBoot(), StartedNs: c.GetStartedNs(),
+		}
+		a.endEarlierProcesses(s)
 		a.shares[k] = s
 	}
+	if s.GetEnded() {
+		return &wire.ShareGrant{Organisation: r.GetOrganisation(), Granted: s.GetGranted()}
+	}
 	if r.GetReturned() > s.GetReturned() {
 		a.outstanding -= r.GetReturned() - s.GetReturned()
 		s.Returned = r.GetReturned()
 	}
 	s.Spent = max(s.GetSpent(), r.GetSpent())
+	s.Received = max(s.GetReceived(), r.GetReceived())
+	if r.GetLimit().GetSequence() > s.GetLimit().GetSequence() {
+		s.Limit = r.GetLimit()
+	}
 	s.Balance, s.Rate, s.AtMs = r.GetBalance(), r.GetRate(), l.nowMS
 	if c.GetClosing() {
 		s.Rate, s.AtMs = 0, 0
@@ -146,16 +156,43 @@
 	return s.GetAtMs() > 0 && nowMS-s.GetAtMs() <= silentHorizons*horizonMS
 }
 
-// excludeEarlierProcesses stops counting a router's earlier processes when the
-// total is divided.
-func (a *allowance) excludeEarlierProcesses(k shareKey) {
-	for other, s := range a.shares {
-		if other.router == k.router {
-			s.Rate, s.AtMs, s.Balance = 0, 0, 0
+// endEarlierProcesses stops counting a router's earlier processes when the total is
+// divided, and takes back what they are known not to have used.
+func (a *allowance) endEarlierProcesses(started *wire.ShareState) {
+	for _, s := range a.shares {
+		if s.GetRouter() != started.GetRouter() {
+			continue
+		}
+		s.Rate, s.AtMs, s.Balance = 0, 0, 0
+		if started.GetBoot() != 0 && started.GetBoot() == s.GetBoot() {
+			a.takeBack(s, started.GetStartedNs())
 		}
 	}
 }
 
+// takeBack returns the unused part of the share of an ended process to the budget. The
+// process had ended when its VM's clock showed the given reading. If its last limit had
+// begun and still held then, it used no more tokens than that. What it received and
+// returned after its last report isn't known, so that too few tokens are taken back
+// rather than too many.
+func (a *allowance) takeBack(s *wire.ShareState, readingNS int64) {
+	l := s.GetLimit()
+	if s.GetEnded() || readingNS <= l.GetFromNs() || readingNS >= l.GetUntilNs() {
+		return
+	}
+	s.Ended = true
+	unused := max(s.GetGranted()+s.GetReceived()-s.GetReturned()-LimitAt(l, readingNS), 0)
+	s.Returned += unused
+	a.outstanding -= unused
+}
+
+// LimitAt returns the number of tokens that a limit allows a process to have used at a
+// reading of its VM's boot clock.
+func LimitAt(l *wire.UseLimit, readingNS int64) int64 {
+	elapsed := time.Duration(max(readingNS-l.GetFromNs(), 0))
+	return l.GetTokens() + l.GetTokensPerSecond()*elapsed.Milliseconds()/1000
+}
+
 // target returns how many unspent tokens a router should hold. All routers
 // together hold the demand over the horizon, but no more than a fraction of the
 // unspent tokens, because tokens that aren't handed out can't be lost with a
