--- a/integ/fleet_engine_test.go
+++ b/integ/fleet_engine_test.go
@@ -36,6 +36,9 @@
 	// failEvery makes one in this many requests fail; 0 fails none.
 	failEvery atomic.Int64
 	received  atomic.Int64
+	// limit holds the requests a second that the endpoint names in its answers; nil names
+	// none.
+	limit atomic.Pointer[float64]
 	// eventInterval is the time between two events of a stream.
 	eventInterval time.Duration
 }
@@ -142,6 +145,15 @@
 	return e.leaveAckedAt
 }
 
+// nameLimit makes the endpoint name a limit in its answers from now on; 0 ends the limit.
+func (e *endpointStub) nameLimit(perSecond float64) {
+	if perSecond == 0 {
+		e.limit.Store(nil)
+		return
+	}
+	e.limit.Store(&perSecond)
+}
+
 // serve handles requests as the platform's endpoints do.
 func (e *endpointStub) serve(w http.ResponseWriter, r *http.Request) {
 	q := platf.DecodeEndpointRequest(r.Header)
@@ -161,6 +173,9 @@
 	defer e.running.Add(-1)
 	e.fleet.observed.recordExecution(execution{id: q.ID, endpoint: e, organisation: q.Organisation, at: time.Now(), key: q.Key})
 	platf.EncodeEndpointAnswer(w.Header(), q.ID, signature(q.ID), false)
+	if l := e.limit.Load(); l != nil {
+		platf.EncodeRateLimit(w.Header(), *l)
+	}
 	if n := e.failEvery.Load(); n > 0 && e.received.Add(1)%n == 0 {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
