Keep to the limits that endpoints name, over all routers

Cause: answers' limits weren't decoded, so nothing in the product knew of them.

Who hears a change raises its version and tells the others at once, and they pass it on; a newcomer gets all limits with the first comparison of digests. An answer to a request that was sent before the last change counts for nothing, so that late answers end no limit. Ways weighed to share it: even parts for all (a limit of 1 among 72 routers would let 72 requests through at once, or hold a request for minutes), tokens from one owner (a message per request), turns by the clock (needs one). Chosen: as many routers as the limit has whole requests a second, by rendezvous hashing over the living ones, with even parts; no message is needed for it, and a router that comes or goes changes few parts. Each attempt, retry and resumption chooses among the endpoints with room; if there is none, the request is refused at once with the time until there is.

--- a/app/fleet.go
+++ b/app/fleet.go
@@ -20,6 +20,7 @@
 	"buckthornpin/peer"
 	platf "buckthornpin/platform"
 	"buckthornpin/relay"
+	"buckthornpin/route"
 	"buckthornpin/site"
 	"buckthornpin/store"
 	"buckthornpin/wire"
@@ -223,7 +224,11 @@
 			Ratio: platform.RetryRatio, Slack: platform.RetrySlack, Window: time.Duration(platform.RetryWindow), Routers: p.livingRouterCount,
 		},
 	}
+	p.router.Limits = &route.RateLimits{Sends: p.directory.RequiredSends}
+	p.router.Fleet = p.fleet
+	p.router.LimitChanged = p.mesh.LoadChanged
 	p.router.Open()
+	p.mesh.Limits = p.router.Limits
 	p.mesh.Budgets = p.shares
 	p.mesh.Site = p.mirror
 	p.mesh.OwnLoads = p.router.OwnLoads
@@ -240,6 +245,15 @@
 // livingRouterCount returns the number of living routers, including this one.
 func (p *PlatformProcess) livingRouterCount() int { return 1 + p.nodes.LivingRouterCount() }
 
+// fleet returns the living routers.
+func (p *PlatformProcess) fleet(now time.Time) route.Fleet {
+	f := route.Fleet{Self: p.nodes.Self.Address}
+	for _, n := range p.nodes.Routers(now) {
+		f.Others = append(f.Others, n.Address)
+	}
+	return f
+}
+
 // recentCrashes returns the crashes to report to other routers.
 func (p *PlatformProcess) recentCrashes() []*wire.CrashState {
 	var out []*wire.CrashState
--- a/peer/directory.go
+++ b/peer/directory.go
@@ -152,7 +152,7 @@
 	if d.entries == nil {
 		d.entries = map[string]*entry{}
 	}
-	next := &entry{endpoint: e, newestSequence: e.Sequence, remainingSends: d.requiredSends()}
+	next := &entry{endpoint: e, newestSequence: e.Sequence, remainingSends: d.RequiredSends()}
 	if old != nil && old.endpoint.Incarnation == e.Incarnation {
 		next.newestSequence = max(old.newestSequence, e.Sequence)
 	}
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -87,7 +87,9 @@
 	// request.
 	Crashes     func() []*wire.CrashState
 	RecordCrash func(c *wire.CrashState)
-	// Budgets, Site, OwnLoads, Crashes and RecordCrash are nil in control processes.
+	// Limits holds the limits that endpoints have named.
+	Limits *route.RateLimits
+	// Budgets, Site, OwnLoads, Crashes, RecordCrash and Limits are nil in control processes.
 	Budgets  Budgets
 	Site     Site
 	OwnLoads func() map[string]route.Load
@@ -133,6 +135,7 @@
 			r = m.newRequest(request.GetEndpoints())
 			r.Nodes = m.Nodes.States()
 			r.Digest = m.Directory.Digest()
+			r.Limits = m.allLimits()
 		}
 		wg.Go(func() {
 			if m.send(ctx, address, r) {
@@ -223,6 +226,7 @@
 	if m.Crashes != nil {
 		r.Crashes = m.Crashes()
 	}
+	r.Limits = m.changedLimits()
 	return r
 }
 
@@ -239,6 +243,7 @@
 	}
 	m.Nodes.Merge(reply.GetNodes(), time.Now())
 	m.Directory.Merge(reply.GetEndpoints())
+	m.mergeLimits(reply.GetLimits(), time.Now())
 	if m.Site != nil && reply.GetSite() != nil {
 		m.Site.ApplyIfNewer(reply.GetSite())
 	}
@@ -272,6 +277,7 @@
 	m.Nodes.Merge(r.GetNodes(), now)
 	m.Directory.Merge(r.GetEndpoints())
 	m.recordLoads(r, now)
+	m.mergeLimits(r.GetLimits(), now)
 	for _, c := range r.GetCrashes() {
 		if m.RecordCrash != nil {
 			m.RecordCrash(c)
@@ -287,7 +293,7 @@
 	if r.GetDigest() == 0 {
 		return reply, nil
 	}
-	reply.Nodes = m.Nodes.States()
+	reply.Nodes, reply.Limits = m.Nodes.States(), m.allLimits()
 	if r.GetDigest() != m.Directory.Digest() {
 		reply.Endpoints, reply.Differs = m.Directory.States(), true
 	}
--- a/peer/news.go
+++ b/peer/news.go
@@ -18,9 +18,9 @@
 	maxUpdates = 256
 )
 
-// requiredSends returns how often an update has to be sent to reach all routers with
+// RequiredSends returns how often an update has to be sent to reach all routers with
 // high probability: twice the binary logarithm of their number, plus extraSends.
-func (d *Directory) requiredSends() int {
+func (d *Directory) RequiredSends() int {
 	return 2*bits.Len(uint(len(d.Addresses()))) + extraSends
 }
 
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -38,6 +38,10 @@
 	// attemptStart is when the latest attempt began, headerAt when the header of its
 	// answer arrived or it failed; zero before.
 	attemptStart, headerAt time.Time
+	// limited is set if the limits of all endpoints that are left to try are used up, and
+	// limitWait is when the first one allows a request; 0 if that isn't known.
+	limited   bool
+	limitWait time.Duration
 }
 
 // streamProgress is the part of a stream that was delivered to the caller.
@@ -181,7 +185,21 @@
 	if len(alive) == 0 {
 		alive = silent
 	}
-	return r.tracker.Choose(alive, f.work(), r.Zone, time.Now())
+	return f.chooseWithinLimits(alive)
+}
+
+// chooseWithinLimits picks one of the endpoints whose limits aren't used up, and counts the
+// request towards the limit.
+func (f *flight) chooseWithinLimits(all []route.EndpointOption) (route.Choice, bool) {
+	r, now := f.router, time.Now()
+	for {
+		usable, wait := r.withinLimits(all, now)
+		f.limited, f.limitWait = len(usable) == 0 && len(all) > 0, wait
+		c, ok := r.tracker.Choose(usable, f.work(), r.Zone, now)
+		if !ok || r.Limits == nil || !r.Limits.Active() || r.Limits.Take(c.Endpoint, r.Fleet(now), now) {
+			return c, ok
+		}
+	}
 }
 
 // connectionLimit returns this router's part of the connections that an endpoint of the
@@ -205,6 +223,8 @@
 	switch {
 	case f.mayHaveRun:
 		f.refuse(ReasonBroken, 0)
+	case f.limited:
+		f.refuse(ReasonLimited, f.retryAfterLimit())
 	case f.sentCount > 0:
 		f.refuse(ReasonFull, f.retryAfter())
 	default:
@@ -243,6 +263,15 @@
 	return max(min(defaultRetryAfter, time.Until(f.request.Deadline)/retryAfterDivisor), 0)
 }
 
+// retryAfterLimit returns how long the caller should wait for a limit to allow a request,
+// as far as this router knows and the caller's remaining time permits.
+func (f *flight) retryAfterLimit() time.Duration {
+	if f.limitWait == 0 {
+		return f.retryAfter()
+	}
+	return min(f.limitWait, f.retryAfter())
+}
+
 // refuse sends a refusal, or breaks the answer off if it has begun.
 func (f *flight) refuse(reason Reason, after time.Duration) {
 	f.outcome = string(reason)
--- a/relay/request.go
+++ b/relay/request.go
@@ -76,6 +76,7 @@
 	Misdirected bool
 	// Signed is set if the answer has an endpoint's signature.
 	Signed bool
+	Limit  buckthornpin.StatedLimit
 }
 
 // Endpoints sends requests to endpoints. An error of KindNotSent means that nothing was
@@ -115,6 +116,8 @@
 	ReasonBudgetElsewhere Reason = "budget_elsewhere"
 	ReasonNoEndpoint      Reason = "no_endpoint"
 	ReasonFull            Reason = "full"
+	// ReasonLimited means that the endpoints have named limits which are used up.
+	ReasonLimited Reason = "limited"
 	// ReasonQuarantined means that the request has crashed several endpoints.
 	ReasonQuarantined Reason = "quarantined"
 	// ReasonOverload means that this VM can't handle the request in time; another one can.
--- /dev/null
+++ b/route/rate_limit.go
@@ -0,0 +1,267 @@
+package route
+
+import (
+	"cmp"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"buckthornpin"
+)
+
+const (
+	// minSharePerSecond is the smallest share of a limit that a router gets, in requests a
+	// second, unless the limit itself is smaller. Each router can send one request at any
+	// moment, so that many small shares would together exceed the limit.
+	minSharePerSecond = 1
+	// probesPerSecond is the rate at which requests are sent to an endpoint with a smaller
+	// limit. An endpoint that gets no request can't say that its limit has ended.
+	probesPerSecond = 0.25
+	// burstTime is the time whose share of a limit may be sent at once.
+	burstTime = 500 * time.Millisecond
+	// shareLifetime is how long a router's share is used before it is computed again from
+	// the routers that are living then.
+	shareLifetime = 400 * time.Millisecond
+	// limitRetention is how long the state of an endpoint is kept after the last change or
+	// request.
+	limitRetention = 5 * time.Minute
+)
+
+// RateLimit is the limit that an endpoint names in its answers.
+type RateLimit struct {
+	Endpoint    string
+	Incarnation int64
+	// Version rises with each change of the limit.
+	Version int64
+	// Limited is false if the endpoint no longer names a limit.
+	Limited bool
+	// PerSecond is the number of requests a second that the endpoint takes from all
+	// routers together.
+	PerSecond float64
+}
+
+// supersedes reports whether l replaces other. Of two changes that two routers have made
+// to the same version, the stricter one wins.
+func (l RateLimit) supersedes(other RateLimit) bool {
+	if l.Incarnation != other.Incarnation {
+		return l.Incarnation > other.Incarnation
+	}
+	if l.Version != other.Version {
+		return l.Version > other.Version
+	}
+	return l.Limited && (!other.Limited || l.PerSecond < other.PerSecond)
+}
+
+// Fleet is the routers among which limits are divided.
+type Fleet struct {
+	// Self is the address of this router, Others the addresses of the other living ones.
+	Self   string
+	Others []string
+}
+
+// RateLimits holds the limits of all endpoints and divides them among the routers. Times
+// are passed in. It is safe for concurrent use. Its exported field is set before first use.
+type RateLimits struct {
+	// Sends returns how often a change has to be sent to reach all routers.
+	Sends func() int
+
+	mu        sync.Mutex
+	endpoints map[string]*limitedEndpoint
+	// active is the number of endpoints that have a limit.
+	active atomic.Int64
+}
+
+// limitedEndpoint is the limit of one endpoint with this router's share of it.
+type limitedEndpoint struct {
+	limit RateLimit
+	// changedAt is when this router learned of the limit, usedAt when it last needed it.
+	changedAt, usedAt time.Time
+	// remainingSends is how often the limit still has to be sent to other routers.
+	remainingSends int
+	// share is this router's share in requests a second, as of sharedAt.
+	share    float64
+	sharedAt time.Time
+	// room is the number of requests that may be sent at filledAt.
+	room     float64
+	filledAt time.Time
+}
+
+// Observe records what an endpoint's answer says to a request that was sent at sentAt: a
+// limit, or none. It reports whether that is news. An answer to a request that was sent
+// before the last change may be older than that change and is ignored.
+func (r *RateLimits) Observe(heard RateLimit, sentAt, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.endpoints[heard.Endpoint]
+	if e == nil || heard.Incarnation > e.limit.Incarnation {
+		if !heard.Limited && e == nil {
+			return false
+		}
+		heard.Version = 1
+		r.put(heard, now)
+		return true
+	}
+	same := heard.Limited == e.limit.Limited && heard.PerSecond == e.limit.PerSecond
+	if same || heard.Incarnation < e.limit.Incarnation || !sentAt.After(e.changedAt) {
+		return false
+	}
+	heard.Version = e.limit.Version + 1
+	r.put(heard, now)
+	return true
+}
+
+// Merge records a limit that another router has reported, and reports whether it is news.
+func (r *RateLimits) Merge(l RateLimit, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e := r.endpoints[l.Endpoint]; e != nil && !l.supersedes(e.limit) {
+		return false
+	}
+	r.put(l, now)
+	return true
+}
+
+// put stores a limit. The requests that may be sent at once are kept, so that a changed
+// limit doesn't allow another burst. The caller holds mu.
+func (r *RateLimits) put(l RateLimit, now time.Time) {
+	if r.endpoints == nil {
+		r.endpoints = map[string]*limitedEndpoint{}
+	}
+	next := &limitedEndpoint{limit: l, changedAt: now, usedAt: now, remainingSends: r.Sends(), filledAt: now}
+	if old := r.endpoints[l.Endpoint]; old != nil && old.limit.Limited {
+		next.room, next.filledAt = old.room, old.filledAt
+		r.active.Add(-1)
+	}
+	r.endpoints[l.Endpoint] = next
+	if l.Limited {
+		r.active.Add(1)
+	}
+}
+
+// Active reports whether any endpoint has a limit.
+func (r *RateLimits) Active() bool { return r.active.Load() > 0 }
+
+// All returns all limits, those that have ended included.
+func (r *RateLimits) All() []RateLimit {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]RateLimit, 0, len(r.endpoints))
+	for _, e := range r.endpoints {
+		out = append(out, e.limit)
+	}
+	return out
+}
+
+// NextUpdates returns the changes that still have to be sent to other routers, and counts
+// each as sent once.
+func (r *RateLimits) NextUpdates() []RateLimit {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []RateLimit
+	for _, e := range r.endpoints {
+		if e.remainingSends > 0 {
+			e.remainingSends--
+			out = append(out, e.limit)
+		}
+	}
+	return out
+}
+
+// Sweep forgets the endpoints that have been neither changed nor used for limitRetention.
+func (r *RateLimits) Sweep(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, e := range r.endpoints {
+		if now.Sub(e.usedAt) <= limitRetention {
+			continue
+		}
+		delete(r.endpoints, id)
+		if e.limit.Limited {
+			r.active.Add(-1)
+		}
+	}
+}
+
+// Wait returns how long this router has to wait before it may send a request to an
+// endpoint; 0 means that it may send one now. ok is false if it has no share of the
+// endpoint's limit.
+func (r *RateLimits) Wait(e *buckthornpin.Endpoint, f Fleet, now time.Time) (wait time.Duration, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := r.limited(e)
+	if l == nil {
+		return 0, true
+	}
+	l.fill(f, now)
+	switch {
+	case l.share == 0:
+		return 0, false
+	case l.room >= 1:
+		return 0, true
+	}
+	return max(time.Duration((1-l.room)/l.share*float64(time.Second)), 1), true
+}
+
+// Take reports whether a request may be sent to an endpoint now, and counts it if so.
+func (r *RateLimits) Take(e *buckthornpin.Endpoint, f Fleet, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := r.limited(e)
+	if l == nil {
+		return true
+	}
+	l.fill(f, now)
+	if l.share == 0 || l.room < 1 {
+		return false
+	}
+	l.room--
+	return true
+}
+
+// limited returns the state of an endpoint that has a limit, or nil. The caller holds mu.
+func (r *RateLimits) limited(e *buckthornpin.Endpoint) *limitedEndpoint {
+	l := r.endpoints[e.ID]
+	if l == nil || !l.limit.Limited || e.Incarnation > l.limit.Incarnation {
+		return nil
+	}
+	return l
+}
+
+// fill adds the requests that this router's share allows since the last call.
+func (l *limitedEndpoint) fill(f Fleet, now time.Time) {
+	if l.sharedAt.IsZero() || now.Sub(l.sharedAt) > shareLifetime {
+		l.share, l.sharedAt = shareOf(l.limit, f), now
+	}
+	l.usedAt = now
+	elapsed := max(now.Sub(l.filledAt).Seconds(), 0)
+	l.filledAt = now
+	l.room = min(l.room+l.share*elapsed, max(1, l.share*burstTime.Seconds()))
+}
+
+// shareOf returns a router's share of a limit in requests a second. A small limit is
+// divided among a few routers, which are chosen by rendezvous hashing: all routers that
+// know the same others choose the same ones, without exchanging a message for it, and a
+// router that comes or goes changes few shares.
+func shareOf(l RateLimit, f Fleet) float64 {
+	perSecond := max(l.PerSecond, probesPerSecond)
+	sharers := min(max(int(perSecond/minSharePerSecond), 1), len(f.Others)+1)
+	if sharers <= len(f.Others) && ownRank(l.Endpoint, f) >= sharers {
+		return 0
+	}
+	return perSecond / float64(sharers)
+}
+
+// ownRank returns the number of other routers that come before this one for an endpoint.
+func ownRank(endpoint string, f Fleet) int {
+	hash := xxhash.Sum64String(endpoint)
+	weight := func(router string) uint64 { return mix(hash ^ xxhash.Sum64String(router)) }
+	own, rank := weight(f.Self), 0
+	for _, router := range f.Others {
+		if c := cmp.Compare(weight(router), own); c > 0 || c == 0 && router > f.Self {
+			rank++
+		}
+	}
+	return rank
+}
