Limits of endpoints: our own interface can name them too

X-Request-Limit on a reply; the same route.RateLimits as on the platform, with the limits carried by the gossip of our own routers. A request whose endpoints' limits are used up is refused at once instead of waiting for a slot. The stand-in names a limit with -request-limit.

--- a/app/process.go
+++ b/app/process.go
@@ -25,6 +25,7 @@
 	"buckthornpin/event"
 	"buckthornpin/oper"
 	"buckthornpin/peer"
+	"buckthornpin/route"
 	"buckthornpin/router"
 	"buckthornpin/store"
 	"buckthornpin/wire"
@@ -219,6 +220,7 @@
 	p.gossip = &peer.Gossip{
 		Router: s.VM, Address: s.Peer.Address, Directory: p.directory, HTTP: p.dialer.InternalClient(),
 		Scheme: p.dialer.Scheme(), Options: p.clientOptions(), Peers: p.mirror.Peers,
+		Limits: &route.RateLimits{Sends: p.directory.RequiredSends}, Log: p.Log,
 		PeerAddress: func(vm string) string { return p.mirror.RouterState(vm).GetPeerAddress() },
 	}
 	p.leases = &budget.LeaseManager{
@@ -228,17 +230,21 @@
 	}
 	p.leases.Open()
 	p.metrics.Set("budget", p.leases.Metrics())
+	endpoints := &endpt.Client{
+		HTTP: plainDialer.ExternalClient(), UnpooledHTTP: plainDialer.UnpooledClient(), Scheme: plainDialer.Scheme(), Secret: p.endpointSecret,
+		SilenceTimeout: time.Duration(s.Endpoint.Silence), MaxAnswerBytes: s.Endpoint.MaxAnswerBytes,
+	}
 	p.router = &router.Router{
 		VM: s.VM, Zone: s.Zone, Control: p.batcher, Leases: p.leases, Directory: p.directory, Holders: p.gossip, Events: p.timeline, Log: p.Log,
 		Incarnation: p.incarnation.Load, Policy: p.mirror.Policy,
 		MaxQueue: s.Route.MaxQueue, MaxAttempts: s.Route.MaxAttempts,
 		ReserveTimeout: time.Duration(s.Budget.ReserveTimeout), SettleTimeout: time.Duration(s.Budget.SettleTimeout),
 		ReconnectGrace: time.Duration(s.Caller.ReconnectGrace), KeptBytes: s.Caller.KeptBytes, ChargeOrphans: s.Budget.ChargeOrphans,
-		Endpoints: &endpt.Client{
-			HTTP: plainDialer.ExternalClient(), UnpooledHTTP: plainDialer.UnpooledClient(), Scheme: plainDialer.Scheme(), Secret: p.endpointSecret,
-			SilenceTimeout: time.Duration(s.Endpoint.Silence), MaxAnswerBytes: s.Endpoint.MaxAnswerBytes,
-		},
+		Endpoints: endpoints,
 	}
+	p.router.Limits = p.gossip.Limits
+	p.router.Fleet = func() route.Fleet { return route.Fleet{Self: s.Peer.Address, Others: p.mirror.Peers()} }
+	endpoints.ObserveLimit = p.router.ObserveLimit
 	p.gossip.HoldsKey = p.router.Holds
 	p.gossip.Answer = p.router.Answer
 	p.callerServer = &caller.Server{
--- a/endpt/client.go
+++ b/endpt/client.go
@@ -54,6 +54,9 @@
 	SilenceTimeout time.Duration
 	// MaxAnswerBytes is the largest body of a plain service's answer.
 	MaxAnswerBytes int64
+	// ObserveLimit is called with what each answer says of its endpoint's limit, and when
+	// its request was sent; nil if limits aren't kept.
+	ObserveLimit func(a Attempt, l buckthornpin.StatedLimit, sentAt time.Time)
 }
 
 // Chat sends an attempt to a model engine and returns the stream of its answer. The
@@ -110,6 +113,7 @@
 		return nil, &Error{Op: "run", Kind: KindNotSent, Err: err}
 	}
 	c.setHeaders(r.Header, a, contentType)
+	sentAt := time.Now()
 	res, err := c.client(a).Do(r)
 	if err != nil && !connected.Load() {
 		return nil, &Error{Op: "run", Kind: KindNotSent, Err: err}
@@ -117,6 +121,10 @@
 	if err != nil {
 		return nil, &Error{Op: "run", Kind: KindBroken, Err: errors.Join(err, context.Cause(ctx))}
 	}
+	l := buckthornpin.ParseStatedLimit(res.Header.Get(LimitHeader))
+	if c.ObserveLimit != nil && (l.Stated || res.Header.Get(NotRunHeader) == "") {
+		c.ObserveLimit(a, l, sentAt)
+	}
 	return res, checkStatus(res, a)
 }
 
--- a/endpt/protocol.go
+++ b/endpt/protocol.go
@@ -16,6 +16,10 @@
 	NotRunHeader = "X-Not-Run"
 	// LeavingHeader is set by an endpoint that takes no new work.
 	LeavingHeader = "X-Leaving"
+	// LimitHeader names in an answer the requests a second, a decimal number, that the
+	// endpoint takes from all routers together. The limit holds until an answer to a
+	// request that has run doesn't name it.
+	LimitHeader = "X-Request-Limit"
 	// SecretHeader carries the secret that routers and endpoints share.
 	SecretHeader = "X-Endpoint-Secret"
 )
--- a/integ/site_test.go
+++ b/integ/site_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -83,6 +84,7 @@
 	announceAddresses []string
 	callerKeys        map[string]string
 	adjustSettings    func(*config.Settings)
+	requestLimit      float64
 	offline           map[string]bool
 }
 
@@ -91,6 +93,9 @@
 	controls, routers, engines, services int
 	// adjustSettings, if set, changes the settings of each process.
 	adjustSettings func(*config.Settings)
+	// requestLimit is the requests a second that each engine names as its limit; 0 names
+	// none.
+	requestLimit float64
 	// direct makes the endpoints announce their own addresses instead of a proxy's.
 	direct bool
 }
@@ -100,7 +105,7 @@
 	t.Helper()
 	s := &site{
 		t: t, folder: t.TempDir(), vms: map[string]*vm{}, links: map[[2]string]*link{}, callerKeys: map[string]string{},
-		adjustSettings: p.adjustSettings, offline: map[string]bool{},
+		adjustSettings: p.adjustSettings, requestLimit: p.requestLimit, offline: map[string]bool{},
 	}
 	t.Cleanup(s.stopAll)
 	addresses := s.addresses(p)
@@ -261,7 +266,7 @@
 	name := fmt.Sprintf("engine-%d", len(s.engines)+1)
 	args := []string{"standin", "-id", name, "-routers", strings.Join(s.announceAddresses, ","), "-zone", fmt.Sprintf("zone-%d", i%4+1)}
 	if engine {
-		args = append(args, "-models", modelName)
+		args = append(args, "-models", modelName, "-request-limit", strconv.FormatFloat(s.requestLimit, 'f', -1, 64))
 	} else {
 		args = append(args, "-services", serviceName)
 	}
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -10,9 +10,11 @@
 
 	"connectrpc.com/connect"
 	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
 
 	"buckthornpin"
 	"buckthornpin/conn"
+	"buckthornpin/route"
 	"buckthornpin/stream"
 	"buckthornpin/wire"
 )
@@ -34,9 +36,11 @@
 	Router    string
 	Address   string
 	Directory *Directory
-	HTTP      *http.Client
-	Scheme    string
-	Options   []connect.ClientOption
+	// Limits holds the limits that endpoints have named.
+	Limits  *route.RateLimits
+	HTTP    *http.Client
+	Scheme  string
+	Options []connect.ClientOption
 	// Peers returns the addresses of the other routers.
 	Peers func() []string
 	// HoldsKey reports whether this router works on a request key.
@@ -46,6 +50,7 @@
 	Answer func(k buckthornpin.RequestKey, digest string, offset int) *stream.Reader
 	// PeerAddress returns the peer address of the router on a VM, or "" if it is unknown.
 	PeerAddress func(vm string) string
+	Log         zerolog.Logger
 
 	clients conn.Clients[wire.PeersClient]
 	rounds  int
@@ -62,18 +67,19 @@
 // router. Without updates the other rounds send nothing.
 func (g *Gossip) round(ctx context.Context, now time.Time) {
 	g.Directory.Sweep(now)
+	g.Limits.Sweep(now)
 	g.rounds++
 	compare := g.rounds%compareRounds == 1
 	peers := slices.Clone(g.Peers())
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	updates := g.Directory.NextUpdates()
-	if len(updates) == 0 && !compare {
+	updates, limits := g.Directory.NextUpdates(), limitStates(g.Limits.NextUpdates())
+	if len(updates)+len(limits) == 0 && !compare {
 		return
 	}
 	var wg sync.WaitGroup
 	for i, address := range peers[:min(fanOut, len(peers))] {
-		if len(updates) > 0 || i == 0 {
-			wg.Go(func() { g.exchange(ctx, address, updates, compare && i == 0) })
+		if len(updates)+len(limits) > 0 || i == 0 {
+			wg.Go(func() { g.exchange(ctx, address, updates, limits, compare && i == 0) })
 		}
 	}
 	wg.Wait()
@@ -81,18 +87,19 @@
 
 // exchange sends updates to one router. If the digests are compared and differ, each
 // side sends the other the states of all endpoints known to it.
-func (g *Gossip) exchange(ctx context.Context, address string, updates []*wire.EndpointState, compare bool) {
+func (g *Gossip) exchange(ctx context.Context, address string, updates []*wire.EndpointState, limits []*wire.LimitState, compare bool) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	r := &wire.ExchangeRequest{Endpoints: updates}
+	r := &wire.ExchangeRequest{Endpoints: updates, Limits: limits}
 	if compare {
-		r.Digest = g.Directory.Digest()
+		r.Digest, r.Limits = g.Directory.Digest(), limitStates(g.Limits.All())
 	}
 	reply, err := g.client(address).Exchange(ctx, r)
 	if err != nil {
 		return
 	}
 	g.Directory.Merge(reply.GetEndpoints())
+	g.mergeLimits(reply.GetLimits())
 	if reply.GetDiffers() {
 		_, _ = g.client(address).Exchange(ctx, &wire.ExchangeRequest{Endpoints: g.Directory.States()})
 	}
@@ -101,10 +108,25 @@
 // Exchange implements wire.PeersHandler.
 func (g *Gossip) Exchange(_ context.Context, r *wire.ExchangeRequest) (*wire.ExchangeReply, error) {
 	g.Directory.Merge(r.GetEndpoints())
-	if r.GetDigest() != 0 && r.GetDigest() != g.Directory.Digest() {
-		return &wire.ExchangeReply{Endpoints: g.Directory.States(), Differs: true}, nil
+	g.mergeLimits(r.GetLimits())
+	if r.GetDigest() == 0 {
+		return &wire.ExchangeReply{}, nil
+	}
+	reply := &wire.ExchangeReply{Limits: limitStates(g.Limits.All())}
+	if r.GetDigest() != g.Directory.Digest() {
+		reply.Endpoints, reply.Differs = g.Directory.States(), true
+	}
+	return reply, nil
+}
+
+// mergeLimits merges the limits that another router has reported.
+func (g *Gossip) mergeLimits(states []*wire.LimitState) {
+	for _, l := range rateLimits(states) {
+		if g.Limits.Merge(l, time.Now()) {
+			g.Log.Info().Str("endpoint", l.Endpoint).Bool("limited", l.Limited).Float64("per_second", l.PerSecond).Int64("version", l.Version).
+				Msg("another router has heard a limit")
+		}
 	}
-	return &wire.ExchangeReply{}, nil
 }
 
 // AskHolds asks the router on a VM whether it works on a request key.
--- a/peer/limits.go
+++ b/peer/limits.go
@@ -32,16 +32,23 @@
 	return out
 }
 
+func rateLimits(states []*wire.LimitState) []route.RateLimit {
+	out := make([]route.RateLimit, 0, len(states))
+	for _, s := range states {
+		out = append(out, route.RateLimit{
+			Endpoint: s.GetEndpoint(), Incarnation: s.GetIncarnation(), Version: s.GetVersion(), Limited: s.GetLimited(), PerSecond: s.GetPerSecond(),
+		})
+	}
+	return out
+}
+
 // mergeLimits merges the limits that another router has reported and passes changes on at
 // once.
 func (m *Mesh) mergeLimits(states []*wire.LimitState, now time.Time) {
 	if m.Limits == nil {
 		return
 	}
-	for _, s := range states {
-		l := route.RateLimit{
-			Endpoint: s.GetEndpoint(), Incarnation: s.GetIncarnation(), Version: s.GetVersion(), Limited: s.GetLimited(), PerSecond: s.GetPerSecond(),
-		}
+	for _, l := range rateLimits(states) {
 		if m.Limits.Merge(l, now) {
 			m.Log.Info().Str("endpoint", l.Endpoint).Bool("limited", l.Limited).Float64("per_second", l.PerSecond).Int64("version", l.Version).
 				Msg("another router has heard a limit")
--- a/route/choose.go
+++ b/route/choose.go
@@ -17,6 +17,8 @@
 	OpenUntil time.Time
 	// Tried is true if an attempt of the request has failed at the endpoint.
 	Tried bool
+	// Limited is true if this router's share of the endpoint's limit is used up.
+	Limited bool
 }
 
 // Query holds the inputs of a decision other than the candidates.
@@ -40,6 +42,9 @@
 	Busy
 	// Unserved means that no usable endpoint serves the target.
 	Unserved
+	// Limited means that the limits of all endpoints that could run the request are used
+	// up.
+	Limited
 )
 
 const (
@@ -63,9 +68,13 @@
 		if !usable(c, &q) {
 			continue
 		}
-		if verdict == Unserved {
-			verdict = Busy
+		if c.Limited {
+			if verdict == Unserved {
+				verdict = Limited
+			}
+			continue
 		}
+		verdict = Busy
 		if c.InFlight >= c.Endpoint.Capacity {
 			continue
 		}
--- a/router/flight.go
+++ b/router/flight.go
@@ -319,6 +319,9 @@
 	if f.mayHaveRun && ctx.Err() != nil {
 		return f.stoppedRefusal(ctx)
 	}
+	if v == route.Limited {
+		return unknownOutcome(CodeOverload, "the limits that the endpoints have named are used up", retrySoon)
+	}
 	if v == route.Busy {
 		return unknownOutcome(CodeOverload, "all endpoints are busy", retrySoon)
 	}
--- a/router/slots.go
+++ b/router/slots.go
@@ -36,6 +36,10 @@
 	maxQueue  int
 	denied    func() []string
 	now       func() time.Time
+	// limits holds the limits that endpoints have named, and fleet returns the routers among
+	// which they are divided; nil if no limits are kept.
+	limits *route.RateLimits
+	fleet  func() route.Fleet
 
 	mu      sync.Mutex
 	loads   map[string]*endpointLoad
@@ -73,7 +77,7 @@
 func (s *slots) acquire(ctx context.Context, r buckthornpin.Request, tried map[string]bool) (slot, route.Verdict) {
 	s.mu.Lock()
 	got, verdict := s.chooseEndpoint(r.Target, tried)
-	if verdict == route.Chosen || len(s.waiting) >= s.maxQueue {
+	if verdict == route.Chosen || verdict == route.Limited || len(s.waiting) >= s.maxQueue {
 		s.mu.Unlock()
 		return got, verdict
 	}
@@ -143,24 +147,38 @@
 func (s *slots) chooseEndpoint(target buckthornpin.Target, tried map[string]bool) (slot, route.Verdict) {
 	s.seed++
 	s.scratch = s.scratch[:0]
+	now := s.now()
 	for _, e := range s.directory.Serving(target) {
-		c := route.Candidate{Endpoint: e, Tried: tried[e.ID]}
+		c := route.Candidate{Endpoint: e, Tried: tried[e.ID], Limited: s.limitUsedUp(e, now)}
 		if l := s.loads[e.ID]; l != nil {
 			c.InFlight, c.OpenUntil = l.inFlight, l.openUntil
 		}
 		s.scratch = append(s.scratch, c)
 	}
 	i, verdict := route.Choose(s.scratch, route.Query{
-		Target: target, Zone: s.zone, Now: s.now(), Denied: s.denied(), Seed: s.seed,
+		Target: target, Zone: s.zone, Now: now, Denied: s.denied(), Seed: s.seed,
 	})
 	if verdict != route.Chosen {
 		return slot{}, verdict
 	}
 	e := s.scratch[i].Endpoint
+	if s.limits != nil && s.limits.Active() {
+		s.limits.Take(e, s.fleet(), now)
+	}
 	s.loadOf(e.ID).inFlight++
 	return slot{endpoint: e, pool: s}, verdict
 }
 
+// limitUsedUp reports whether this router may send no request to an endpoint now. Requests
+// are counted under mu, so that none comes between this and the choice.
+func (s *slots) limitUsedUp(e *buckthornpin.Endpoint, now time.Time) bool {
+	if s.limits == nil || !s.limits.Active() {
+		return false
+	}
+	wait, ok := s.limits.Wait(e, s.fleet(), now)
+	return !ok || wait > 0
+}
+
 // loadOf returns the load of an endpoint, creating it if it is missing. The caller holds mu.
 func (s *slots) loadOf(id string) *endpointLoad {
 	l, ok := s.loads[id]
--- a/stand/endpoint.go
+++ b/stand/endpoint.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -45,6 +46,9 @@
 	Capacity int
 	// TokenInterval is the time between two tokens; if 0, DefaultTokenInterval.
 	TokenInterval time.Duration
+	// RequestLimit is the requests a second that the endpoint names as its limit in its
+	// answers; 0 names none.
+	RequestLimit float64
 	// Routers lists the addresses of the routers to announce to at first; more are learned
 	// from their replies.
 	Routers []string
@@ -126,6 +130,9 @@
 		replyNotRun(w, "")
 	default:
 		defer e.running.Add(-1)
+		if e.RequestLimit > 0 {
+			w.Header().Set(endpt.LimitHeader, strconv.FormatFloat(e.RequestLimit, 'f', -1, 64))
+		}
 		e.run(w, r)
 	}
 }
