--- a/budget/limit_test.go
+++ b/budget/limit_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"buckthornpin"
+	"buckthornpin/wire"
 )
 
 const (
@@ -40,6 +41,23 @@
 	})
 }
 
+// TestTransfersCountTowardsTheLimit guards against tokens that are handed to another router
+// beyond the limit: control would take them back although the other router spends them.
+func TestTransfersCountTowardsTheLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newLimitedManager(newControl(testBudget), 1)
+		s := m.share("fleet")
+		room := s.available(m.Clock.ReadingNS())
+		require.Less(t, room, s.balance())
+		given := int64(0)
+		for range 20 {
+			given = m.Donate(&wire.TransferRequest{Vm: "b", Organisation: "fleet", Tokens: testBudget}).GetTransferred()
+		}
+		require.LessOrEqual(t, given, room)
+		require.False(t, s.reserve(room-given+1, time.Now(), m.Clock.ReadingNS()))
+	})
+}
+
 // TestLimitsEndDuringAnOutage checks that a router without control keeps to its limit while
 // it holds and then uses its whole share.
 func TestLimitsEndDuringAnOutage(t *testing.T) {
