Tests: a frozen process has stopped before the test goes on

SIGSTOP takes effect on each thread when it runs next, up to 202 ms later on a busy machine, and the stand-in answered meanwhile. freeze now waits until all threads are in the state T. The check is as strict as before: the test asks for the same answer, of a process that is frozen.

--- a/integ/site_test.go
+++ b/integ/site_test.go
@@ -447,11 +447,30 @@
 	delete(s.offline, v.name)
 }
 
-// freeze suspends a process with SIGSTOP; thaw resumes it.
+// freeze suspends a process with SIGSTOP and waits until all of its threads have stopped,
+// which they do some time after the signal on a busy machine; thaw resumes it.
 func (s *site) freeze(v *vm) {
 	s.t.Helper()
 	s.offline[v.name] = true
 	require.NoError(s.t, v.cmd.Process.Signal(syscall.SIGSTOP))
+	s.eventually("all threads of "+v.name+" have stopped", func() bool { return threadsStopped(s.t, v.cmd.Process.Pid) })
+}
+
+// threadsStopped reports whether all threads of a process are in the state T of proc(5).
+func threadsStopped(t testing.TB, pid int) bool {
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+	require.NoError(t, err)
+	for _, f := range files {
+		stat, err := os.ReadFile(f)
+		if err != nil {
+			return false
+		}
+		// The state follows the name in parentheses, which may hold any character.
+		if state := stat[bytes.LastIndexByte(stat, ')')+1:]; !bytes.HasPrefix(state, []byte(" T ")) {
+			return false
+		}
+	}
+	return len(files) > 0
 }
 
 func (s *site) thaw(v *vm) {
