--- a/budget/report.go
+++ b/budget/report.go
@@ -79,8 +79,7 @@
 	m.applyGrants(results[0].GetGrants())
 }
 
-// confirmLimits records that control has applied the limits of a report. A report
-// without a limit has removed the earlier ones.
+// confirmLimits records that control has applied the limits of a report.
 func (m *ShareManager) confirmLimits(reports []*wire.ShareReport) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
