Let routers lend the whole share of an organisation that sends them nothing

In a fleet of many routers most routers that hold a part of a budget see no request of its organisation, and their limits let others borrow only a ninth of it a second in a cut. Such a share has no demand to limit; it may now be lent at once, and is lost with its router as before. TestIdleShareCanBeLent failed before.

--- a/budget/limit.go
+++ b/budget/limit.go
@@ -69,10 +69,15 @@
 	if !m.unansweredSince.IsZero() && now.Sub(m.unansweredSince) > maxUnanswered {
 		return s.lastLimit()
 	}
-	// Other routers may borrow the whole share within the horizon.
+	// Other routers may borrow the whole share within the horizon, and at once where no
+	// request of the organisation has arrived.
 	rate := max(s.rate.perSecond(now), float64(s.balance())/m.Horizon.Seconds())
+	request := s.largestBound
+	if request == 0 {
+		request = s.balance()
+	}
 	return s.addLimit(&wire.UseLimit{
-		Tokens: s.used() + s.waiting + s.largestBound + int64(rate*limitReserve.Seconds()), TokensPerSecond: int64(rate),
+		Tokens: s.used() + s.waiting + request + int64(rate*limitReserve.Seconds()), TokensPerSecond: int64(rate),
 		FromNs: reading, UntilNs: reading + m.LimitTime.Nanoseconds(),
 	})
 }
--- a/budget/limit_test.go
+++ b/budget/limit_test.go
@@ -24,12 +24,31 @@
 	m.Incarnation = incarnation
 	m.Clock = BootClock{Boot: 1, ReadingNS: func() int64 { return time.Now().UnixNano() }}
 	m.LimitTime = testLimitTime
-	for range 2 {
-		m.report(context.Background(), []string{"fleet"})
-	}
+	m.report(context.Background(), []string{"fleet"})
+	s := m.share("fleet")
+	s.reserve(1, time.Now(), m.Clock.ReadingNS())
+	s.settle(1, 0, time.Now())
+	m.report(context.Background(), []string{"fleet"})
 	return m
 }
 
+// TestIdleShareCanBeLent guards against a fleet of many routers whose shares can hardly be
+// borrowed in a cut: where no request of the organisation has arrived, the whole share can
+// be lent at once.
+func TestIdleShareCanBeLent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newShareManager(newControl(testBudget), "a")
+		m.Clock = BootClock{Boot: 1, ReadingNS: func() int64 { return time.Now().UnixNano() }}
+		m.LimitTime = testLimitTime
+		for range 2 {
+			m.report(context.Background(), []string{"fleet"})
+		}
+		s := m.share("fleet")
+		require.Positive(t, s.balance())
+		require.Equal(t, s.balance(), s.available(m.Clock.ReadingNS()))
+	})
+}
+
 // TestRequestAboveTheLimitAsksControl checks that a request which the share covers but its
 // limit doesn't is covered after one report.
 func TestRequestAboveTheLimitAsksControl(t *testing.T) {
