--- a/budget/limit_test.go
+++ b/budget/limit_test.go
@@ -24,10 +24,13 @@
 	m.Incarnation = incarnation
 	m.Clock = BootClock{Boot: 1, ReadingNS: func() int64 { return time.Now().UnixNano() }}
 	m.LimitTime = testLimitTime
-	m.report(context.Background(), []string{"fleet"})
+	for range 2 {
+		m.report(context.Background(), []string{"fleet"})
+	}
 	s := m.share("fleet")
-	s.reserve(1, time.Now(), m.Clock.ReadingNS())
-	s.settle(1, 0, time.Now())
+	if s.reserve(1, time.Now(), m.Clock.ReadingNS()) {
+		s.settle(1, 0, time.Now())
+	}
 	m.report(context.Background(), []string{"fleet"})
 	return m
 }
