Limits of endpoints: one mechanism for both interfaces

RateLimits knows the fleet and whom to tell, so that the two routers, the mesh and the gossip no longer carry the fleet, nil checks and log lines of their own; its zero value is ready. The relay marks options as limited, as it does full ones, instead of choosing again in a loop. The two log lines are one, with heard. The mesh forgets old limits in its round, as the gossip does.

--- a/app/fleet.go
+++ b/app/fleet.go
@@ -218,17 +218,14 @@
 	}
 	p.router = &relay.Router{
 		Zone: p.Settings.Zone, Site: p.mirror.Table, Directory: p.directory, Endpoints: &platf.Endpoints{Pool: p.pool},
-		Funds: p.shares, Loads: p.mesh, Log: p.Log, Guard: guard,
+		Funds: p.shares, Loads: p.mesh, Limits: &p.mesh.Limits, Log: p.Log, Guard: guard,
 		Routers: p.livingRouterCount,
 		Retries: &relay.Retries{
 			Ratio: platform.RetryRatio, Slack: platform.RetrySlack, Window: time.Duration(platform.RetryWindow), Routers: p.livingRouterCount,
 		},
 	}
-	p.router.Limits = &route.RateLimits{Sends: p.directory.RequiredSends}
-	p.router.Fleet = p.fleet
-	p.router.LimitChanged = p.mesh.LoadChanged
+	p.mesh.Limits.Fleet, p.mesh.Limits.Changed = p.fleet, p.limitChanged
 	p.router.Open()
-	p.mesh.Limits = p.router.Limits
 	p.mesh.Budgets = p.shares
 	p.mesh.Site = p.mirror
 	p.mesh.OwnLoads = p.router.OwnLoads
@@ -254,6 +251,13 @@
 	return f
 }
 
+// limitChanged logs a changed limit of an endpoint and tells the other routers of it at
+// once.
+func (p *PlatformProcess) limitChanged(l route.RateLimit, heard bool) {
+	logLimit(p.Log, l, heard)
+	p.mesh.LoadChanged()
+}
+
 // recentCrashes returns the crashes to report to other routers.
 func (p *PlatformProcess) recentCrashes() []*wire.CrashState {
 	var out []*wire.CrashState
--- a/app/fleet_run.go
+++ b/app/fleet_run.go
@@ -56,15 +56,12 @@
 	return out
 }
 
-// sweepInterval is the time between two checks for idle connections and limits of
-// endpoints that are too old.
+// sweepInterval is the time between two checks for idle connections that are too
+// old.
 const sweepInterval = time.Second
 
 func (p *PlatformProcess) sweep(ctx context.Context) error {
-	buckthornpin.Every(ctx, sweepInterval, func(_ context.Context, now time.Time) {
-		p.pool.Sweep(now)
-		p.router.Limits.Sweep(now)
-	})
+	buckthornpin.Every(ctx, sweepInterval, func(_ context.Context, now time.Time) { p.pool.Sweep(now) })
 	return nil
 }
 
--- a/app/process.go
+++ b/app/process.go
@@ -220,7 +220,6 @@
 	p.gossip = &peer.Gossip{
 		Router: s.VM, Address: s.Peer.Address, Directory: p.directory, HTTP: p.dialer.InternalClient(),
 		Scheme: p.dialer.Scheme(), Options: p.clientOptions(), Peers: p.mirror.Peers,
-		Limits: &route.RateLimits{Sends: p.directory.RequiredSends}, Log: p.Log,
 		PeerAddress: func(vm string) string { return p.mirror.RouterState(vm).GetPeerAddress() },
 	}
 	p.leases = &budget.LeaseManager{
@@ -240,10 +239,10 @@
 		MaxQueue: s.Route.MaxQueue, MaxAttempts: s.Route.MaxAttempts,
 		ReserveTimeout: time.Duration(s.Budget.ReserveTimeout), SettleTimeout: time.Duration(s.Budget.SettleTimeout),
 		ReconnectGrace: time.Duration(s.Caller.ReconnectGrace), KeptBytes: s.Caller.KeptBytes, ChargeOrphans: s.Budget.ChargeOrphans,
-		Endpoints: endpoints,
+		Endpoints: endpoints, Limits: &p.gossip.Limits,
 	}
-	p.router.Limits = p.gossip.Limits
-	p.router.Fleet = func() route.Fleet { return route.Fleet{Self: s.Peer.Address, Others: p.mirror.Peers()} }
+	p.gossip.Limits.Fleet = func(time.Time) route.Fleet { return route.Fleet{Self: s.Peer.Address, Others: p.mirror.Peers()} }
+	p.gossip.Limits.Changed = func(l route.RateLimit, heard bool) { logLimit(p.Log, l, heard) }
 	endpoints.ObserveLimit = p.router.ObserveLimit
 	p.gossip.HoldsKey = p.router.Holds
 	p.gossip.Answer = p.router.Answer
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -10,7 +10,6 @@
 
 	"connectrpc.com/connect"
 	"github.com/go-faster/errors"
-	"github.com/rs/zerolog"
 
 	"buckthornpin"
 	"buckthornpin/conn"
@@ -37,7 +36,7 @@
 	Address   string
 	Directory *Directory
 	// Limits holds the limits that endpoints have named.
-	Limits  *route.RateLimits
+	Limits  route.RateLimits
 	HTTP    *http.Client
 	Scheme  string
 	Options []connect.ClientOption
@@ -50,7 +49,6 @@
 	Answer func(k buckthornpin.RequestKey, digest string, offset int) *stream.Reader
 	// PeerAddress returns the peer address of the router on a VM, or "" if it is unknown.
 	PeerAddress func(vm string) string
-	Log         zerolog.Logger
 
 	clients conn.Clients[wire.PeersClient]
 	rounds  int
@@ -72,7 +70,7 @@
 	compare := g.rounds%compareRounds == 1
 	peers := slices.Clone(g.Peers())
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	updates, limits := g.Directory.NextUpdates(), limitStates(g.Limits.NextUpdates())
+	updates, limits := g.Directory.NextUpdates(), limitStates(g.Limits.NextUpdates(g.Directory.RequiredSends()))
 	if len(updates)+len(limits) == 0 && !compare {
 		return
 	}
@@ -99,7 +97,7 @@
 		return
 	}
 	g.Directory.Merge(reply.GetEndpoints())
-	g.mergeLimits(reply.GetLimits())
+	mergeLimits(&g.Limits, reply.GetLimits(), time.Now())
 	if reply.GetDiffers() {
 		_, _ = g.client(address).Exchange(ctx, &wire.ExchangeRequest{Endpoints: g.Directory.States()})
 	}
@@ -108,7 +106,7 @@
 // Exchange implements wire.PeersHandler.
 func (g *Gossip) Exchange(_ context.Context, r *wire.ExchangeRequest) (*wire.ExchangeReply, error) {
 	g.Directory.Merge(r.GetEndpoints())
-	g.mergeLimits(r.GetLimits())
+	mergeLimits(&g.Limits, r.GetLimits(), time.Now())
 	if r.GetDigest() == 0 {
 		return &wire.ExchangeReply{}, nil
 	}
@@ -119,16 +117,6 @@
 	return reply, nil
 }
 
-// mergeLimits merges the limits that another router has reported.
-func (g *Gossip) mergeLimits(states []*wire.LimitState) {
-	for _, l := range rateLimits(states) {
-		if g.Limits.Merge(l, time.Now()) {
-			g.Log.Info().Str("endpoint", l.Endpoint).Bool("limited", l.Limited).Float64("per_second", l.PerSecond).Int64("version", l.Version).
-				Msg("another router has heard a limit")
-		}
-	}
-}
-
 // AskHolds asks the router on a VM whether it works on a request key.
 func (g *Gossip) AskHolds(ctx context.Context, vm string, k buckthornpin.RequestKey) (bool, error) {
 	address := g.PeerAddress(vm)
--- a/peer/loads.go
+++ b/peer/loads.go
@@ -38,7 +38,7 @@
 			return nil
 		case <-m.loadsChanged:
 		}
-		r := &wire.TellRequest{Vm: m.Nodes.Self.Address, Loads: m.loadStates(), Limits: m.changedLimits()}
+		r := &wire.TellRequest{Vm: m.Nodes.Self.Address, Loads: m.loadStates(), Limits: limitStates(m.Limits.NextUpdates(m.Directory.RequiredSends()))}
 		var wg sync.WaitGroup
 		for _, address := range draw(m.Nodes.Routers(time.Now()), fanOut) {
 			wg.Go(func() { m.sendLoads(ctx, address, r) })
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -88,8 +88,8 @@
 	Crashes     func() []*wire.CrashState
 	RecordCrash func(c *wire.CrashState)
 	// Limits holds the limits that endpoints have named.
-	Limits *route.RateLimits
-	// Budgets, Site, OwnLoads, Crashes, RecordCrash and Limits are nil in control processes.
+	Limits route.RateLimits
+	// Budgets, Site, OwnLoads, Crashes and RecordCrash are nil in control processes.
 	Budgets  Budgets
 	Site     Site
 	OwnLoads func() map[string]route.Load
@@ -122,6 +122,7 @@
 func (m *Mesh) round(ctx context.Context, now time.Time) {
 	m.Nodes.StartRound(now)
 	m.Directory.Sweep(now)
+	m.Limits.Sweep(now)
 	m.expireLoads(now)
 	m.rounds++
 	targets := m.targets(now)
@@ -135,7 +136,7 @@
 			r = m.newRequest(request.GetEndpoints())
 			r.Nodes = m.Nodes.States()
 			r.Digest = m.Directory.Digest()
-			r.Limits = m.allLimits()
+			r.Limits = limitStates(m.Limits.All())
 		}
 		wg.Go(func() {
 			if m.send(ctx, address, r) {
@@ -226,7 +227,7 @@
 	if m.Crashes != nil {
 		r.Crashes = m.Crashes()
 	}
-	r.Limits = m.changedLimits()
+	r.Limits = limitStates(m.Limits.NextUpdates(m.Directory.RequiredSends()))
 	return r
 }
 
@@ -243,7 +244,7 @@
 	}
 	m.Nodes.Merge(reply.GetNodes(), time.Now())
 	m.Directory.Merge(reply.GetEndpoints())
-	m.mergeLimits(reply.GetLimits(), time.Now())
+	mergeLimits(&m.Limits, reply.GetLimits(), time.Now())
 	if m.Site != nil && reply.GetSite() != nil {
 		m.Site.ApplyIfNewer(reply.GetSite())
 	}
@@ -277,7 +278,7 @@
 	m.Nodes.Merge(r.GetNodes(), now)
 	m.Directory.Merge(r.GetEndpoints())
 	m.recordLoads(r, now)
-	m.mergeLimits(r.GetLimits(), now)
+	mergeLimits(&m.Limits, r.GetLimits(), now)
 	for _, c := range r.GetCrashes() {
 		if m.RecordCrash != nil {
 			m.RecordCrash(c)
@@ -293,7 +294,7 @@
 	if r.GetDigest() == 0 {
 		return reply, nil
 	}
-	reply.Nodes, reply.Limits = m.Nodes.States(), m.allLimits()
+	reply.Nodes, reply.Limits = m.Nodes.States(), limitStates(m.Limits.All())
 	if r.GetDigest() != m.Directory.Digest() {
 		reply.Endpoints, reply.Differs = m.Directory.States(), true
 	}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -39,7 +39,7 @@
 		return false
 	}
 	defer func() { _ = a.Body.Close() }()
-	f.observeLimit(e, a, f.headerAt)
+	f.observeLimit(e, a)
 	f.sentCount++
 	if a.Misdirected {
 		f.router.Directory.MarkLeaving(e.ID, e.Incarnation)
--- a/relay/caller_load_test.go
+++ b/relay/caller_load_test.go
@@ -139,7 +139,7 @@
 	}
 	table := site.NewTable(c.configuration())
 	router := &relay.Router{
-		Site: func() *site.Table { return table }, Directory: m.Directory, Loads: m, Guard: c.guard, Log: zerolog.Nop(),
+		Site: func() *site.Table { return table }, Directory: m.Directory, Loads: m, Limits: &m.Limits, Guard: c.guard, Log: zerolog.Nop(),
 		Endpoints: &platf.Endpoints{Pool: &conn.Pool{DialTimeout: 1300 * time.Millisecond, Dial: c.dial, Traffic: traffic}},
 		Retries:   &relay.Retries{Ratio: 0.2, Slack: 200, Window: 10 * time.Second, Routers: func() int { return 86 }},
 	}
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -38,7 +38,7 @@
 	// attemptStart is when the latest attempt began, headerAt when the header of its
 	// answer arrived or it failed; zero before.
 	attemptStart, headerAt time.Time
-	// limited is set if the limits of all endpoints that are left to try are used up, and
+	// limited is set if no endpoint is left to try but some whose limits are used up, and
 	// limitWait is when the first one allows a request; 0 if that isn't known.
 	limited   bool
 	limitWait time.Duration
@@ -170,12 +170,12 @@
 	all := r.Directory.Serving(buckthornpin.Target{Service: f.service.Name})
 	alive := make([]route.EndpointOption, 0, len(all))
 	var silent []route.EndpointOption
-	maxConnections := r.connectionLimit(f.service)
+	maxConnections, now := r.connectionLimit(f.service), time.Now()
 	for _, e := range all {
 		if e.Leaving || f.tried[e.ID] {
 			continue
 		}
-		c := route.EndpointOption{Endpoint: e, LoadFromOthers: r.Loads.Others(e.ID), MaxRunning: maxConnections}
+		c := route.EndpointOption{Endpoint: e, LoadFromOthers: r.Loads.Others(e.ID), MaxRunning: maxConnections, Limited: !r.Limits.Allows(e, now)}
 		if e.Dead {
 			silent = append(silent, c)
 			continue
@@ -185,21 +185,13 @@
 	if len(alive) == 0 {
 		alive = silent
 	}
-	return f.chooseWithinLimits(alive)
-}
-
-// chooseWithinLimits picks one of the endpoints whose limits aren't used up, and counts the
-// request towards the limit.
-func (f *flight) chooseWithinLimits(all []route.EndpointOption) (route.Choice, bool) {
-	r, now := f.router, time.Now()
-	for {
-		usable, wait := r.withinLimits(all, now)
-		f.limited, f.limitWait = len(usable) == 0 && len(all) > 0, wait
-		c, ok := r.tracker.Choose(usable, f.work(), r.Zone, now)
-		if !ok || r.Limits == nil || !r.Limits.Active() || r.Limits.Take(c.Endpoint, r.Fleet(now), now) {
-			return c, ok
-		}
+	c, ok := r.tracker.Choose(alive, f.work(), r.Zone, now)
+	if ok {
+		r.Limits.CountRequest(c.Endpoint, now)
+	} else {
+		f.recordLimits(alive, now)
 	}
+	return c, ok
 }
 
 // connectionLimit returns this router's part of the connections that an endpoint of the
@@ -263,15 +255,6 @@
 	return max(min(defaultRetryAfter, time.Until(f.request.Deadline)/retryAfterDivisor), 0)
 }
 
-// retryAfterLimit returns how long the caller should wait for a limit to allow a request,
-// as far as this router knows and the caller's remaining time permits.
-func (f *flight) retryAfterLimit() time.Duration {
-	if f.limitWait == 0 {
-		return f.retryAfter()
-	}
-	return min(f.limitWait, f.retryAfter())
-}
-
 // refuse sends a refusal, or breaks the answer off if it has begun.
 func (f *flight) refuse(reason Reason, after time.Duration) {
 	f.outcome = string(reason)
--- a/relay/flight_test.go
+++ b/relay/flight_test.go
@@ -131,8 +131,16 @@
 	errBroken  = &Error{Op: "send", Kind: KindBroken, Err: errors.New("reset")}
 )
 
-// serve sends a request for the path through a router with scripted endpoints.
-func serve(t *testing.T, path string, steps ...step) (*callerRecorder, *script, *account) {
+// useEndpoints replaces the endpoints of all routers for one test.
+func useEndpoints(t *testing.T, all ...*buckthornpin.Endpoint) {
+	t.Helper()
+	before := endpoints
+	t.Cleanup(func() { endpoints = before })
+	endpoints = all
+}
+
+// scriptedRouter returns a router with scripted endpoints.
+func scriptedRouter(t *testing.T, steps ...step) (*Router, *callerRecorder, *script, *account) {
 	t.Helper()
 	engine := &site.Engine{Slots: 8, EventTokens: 6}
 	table := site.NewTable(site.Configuration{
@@ -149,11 +157,23 @@
 	reply, s, funds := &callerRecorder{}, &script{t: t, steps: steps}, &account{}
 	r := &Router{
 		Site: func() *site.Table { return table }, Directory: reply, Endpoints: s, Funds: funds, Loads: reply, Log: zerolog.Nop(),
-		Retries: &Retries{Ratio: 1, Slack: 100, Window: time.Minute, Routers: func() int { return 1 }},
+		Retries: &Retries{Ratio: 1, Slack: 100, Window: time.Minute, Routers: func() int { return 1 }}, Limits: &route.RateLimits{},
 	}
+	return r, reply, s, funds
+}
+
+// serveOnce sends a request for the path through a router.
+func serveOnce(r *Router, path string, reply Reply) {
 	r.Serve(context.Background(), &Request{
 		ID: "r1", Method: "POST", Host: "h", Path: path, Key: "k", Arrived: time.Now(), Prompt: Prompt{Tokens: 100, MaxOutput: 60},
 	}, reply)
+}
+
+// serve sends a request for the path through a router with scripted endpoints.
+func serve(t *testing.T, path string, steps ...step) (*callerRecorder, *script, *account) {
+	t.Helper()
+	r, reply, s, funds := scriptedRouter(t, steps...)
+	serveOnce(r, path, reply)
 	require.Len(t, s.sent, len(steps), "all steps were used")
 	require.Zero(t, funds.reserved, "nothing stays reserved")
 	return reply, s, funds
@@ -216,9 +236,10 @@
 // dead is tried after all others, but is tried: control may have lost contact with
 // endpoints that routers still reach.
 func TestSilentEndpointsAreTheLastResort(t *testing.T) {
-	before := endpoints
-	t.Cleanup(func() { endpoints = before })
-	endpoints = []*buckthornpin.Endpoint{{ID: "dead", Dead: true, Capacity: 8}, {ID: "living", Capacity: 8}, {ID: "leaving", Leaving: true, Capacity: 8}}
+	useEndpoints(t,
+		&buckthornpin.Endpoint{ID: "dead", Dead: true, Capacity: 8},
+		&buckthornpin.Endpoint{ID: "living", Capacity: 8},
+		&buckthornpin.Endpoint{ID: "leaving", Leaving: true, Capacity: 8})
 	_, s, _ := serve(t, "/safe/x", step{answer: notRun()}, step{answer: plain(200, "ok")})
 	require.Equal(t, "living", s.sent[0].Endpoint.ID)
 	require.Equal(t, "dead", s.sent[1].Endpoint.ID)
--- a/relay/limits.go
+++ b/relay/limits.go
@@ -9,41 +9,36 @@
 
 // observeLimit records what an answer says of its endpoint's limit. An answer that names
 // none ends the limit if the endpoint ran the request.
-func (f *flight) observeLimit(e *buckthornpin.Endpoint, a *Answer, now time.Time) {
-	r, l := f.router, a.Limit
-	if r.Limits == nil || a.Misdirected || !l.Stated && !a.Signed {
+func (f *flight) observeLimit(e *buckthornpin.Endpoint, a *Answer) {
+	if a.Misdirected || !a.Limit.Stated && !a.Signed {
 		return
 	}
-	if l.Err != nil {
-		r.Log.Warn().Str("request", f.request.ID).Str("endpoint", e.ID).Err(l.Err).Msg("endpoint's limit can't be read")
+	if a.Limit.Err != nil {
+		f.router.Log.Warn().Str("request", f.request.ID).Str("endpoint", e.ID).Err(a.Limit.Err).Msg("endpoint's limit can't be read")
 		return
 	}
-	heard := route.RateLimit{Endpoint: e.ID, Incarnation: e.Incarnation, Limited: l.Stated, PerSecond: l.PerSecond}
-	if !r.Limits.Observe(heard, f.attemptStart, now) {
-		return
-	}
-	r.Log.Info().Str("request", f.request.ID).Str("endpoint", e.ID).Bool("limited", l.Stated).Float64("per_second", l.PerSecond).
-		Msg("endpoint has changed its limit")
-	if r.LimitChanged != nil {
-		r.LimitChanged()
-	}
+	f.router.Limits.Observe(e, a.Limit, f.attemptStart, f.headerAt)
 }
 
-// withinLimits returns the endpoints to which this router may send a request now, and how
-// long it has to wait for the first of the others, or 0 if it has no share of their limits.
-func (r *Router) withinLimits(all []route.EndpointOption, now time.Time) (usable []route.EndpointOption, wait time.Duration) {
-	if r.Limits == nil || !r.Limits.Active() {
-		return all, 0
-	}
-	fleet := r.Fleet(now)
+// recordLimits records whether limits are why none of the endpoints could be chosen, and
+// when the first one allows a request.
+func (f *flight) recordLimits(all []route.EndpointOption, now time.Time) {
 	for _, o := range all {
-		d, ok := r.Limits.Wait(o.Endpoint, fleet, now)
-		switch {
-		case ok && d == 0:
-			usable = append(usable, o)
-		case ok && (wait == 0 || d < wait):
-			wait = d
+		if !o.Limited {
+			continue
 		}
+		f.limited = true
+		if wait, ok := f.router.Limits.Wait(o.Endpoint, now); ok && (f.limitWait == 0 || wait < f.limitWait) {
+			f.limitWait = wait
+		}
+	}
+}
+
+// retryAfterLimit returns how long the caller should wait for a limit to allow a request,
+// as far as this router knows and the caller's remaining time permits.
+func (f *flight) retryAfterLimit() time.Duration {
+	if f.limitWait == 0 {
+		return f.retryAfter()
 	}
-	return usable, wait
+	return min(f.limitWait, f.retryAfter())
 }
--- a/relay/router.go
+++ b/relay/router.go
@@ -49,12 +49,8 @@
 	Retries   *Retries
 	// Routers returns the number of live routers, this one included; nil if unknown.
 	Routers func() int
-	// Limits holds the limits that endpoints have named, and Fleet returns the routers among
-	// which they are divided; nil if no limits are kept.
+	// Limits holds the limits that endpoints have named.
 	Limits *route.RateLimits
-	Fleet  func(now time.Time) route.Fleet
-	// LimitChanged is called when an answer has changed a limit.
-	LimitChanged func()
 	// Guard is nil if the VM's load isn't monitored.
 	Guard *Guard
 	Log   zerolog.Logger
--- a/route/rate_limit.go
+++ b/route/rate_limit.go
@@ -62,10 +62,15 @@
 }
 
 // RateLimits holds the limits of all endpoints and divides them among the routers. Times
-// are passed in. It is safe for concurrent use. Its exported field is set before first use.
+// are passed in. It is safe for concurrent use, and its zero value is ready to use. The
+// exported fields are set before first use.
 type RateLimits struct {
-	// Sends returns how often a change has to be sent to reach all routers.
-	Sends func() int
+	// Fleet returns the routers among which limits are divided; if nil, this router is the
+	// only one.
+	Fleet func(now time.Time) Fleet
+	// Changed is called with each new limit; nil ignores them. heard is true if an endpoint's
+	// answer named it, and false if another router reported it.
+	Changed func(l RateLimit, heard bool)
 
 	mu        sync.Mutex
 	endpoints map[string]*limitedEndpoint
@@ -78,8 +83,8 @@
 	limit RateLimit
 	// changedAt is when this router learned of the limit, usedAt when it last needed it.
 	changedAt, usedAt time.Time
-	// remainingSends is how often the limit still has to be sent to other routers.
-	remainingSends int
+	// sends is how often the limit was sent to other routers.
+	sends int
 	// share is this router's share in requests a second, as of sharedAt.
 	share    float64
 	sharedAt time.Time
@@ -88,39 +93,52 @@
 	filledAt time.Time
 }
 
-// Observe records what an endpoint's answer says to a request that was sent at sentAt: a
-// limit, or none. It reports whether that is news. An answer to a request that was sent
-// before the last change may be older than that change and is ignored.
-func (r *RateLimits) Observe(heard RateLimit, sentAt, now time.Time) bool {
+// Observe records what an endpoint's answer says to a request that was sent at sentAt. An
+// answer to a request that was sent before the last change may be older than that change
+// and is ignored.
+func (r *RateLimits) Observe(e *buckthornpin.Endpoint, stated buckthornpin.StatedLimit, sentAt, now time.Time) {
+	heard := RateLimit{Endpoint: e.ID, Incarnation: e.Incarnation, Version: 1, Limited: stated.Stated, PerSecond: stated.PerSecond}
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	e := r.endpoints[heard.Endpoint]
-	if e == nil || heard.Incarnation > e.limit.Incarnation {
-		if !heard.Limited && e == nil {
-			return false
-		}
-		heard.Version = 1
+	known := r.endpoints[e.ID]
+	if known != nil && known.limit.Incarnation == heard.Incarnation {
+		heard.Version = known.limit.Version + 1
+	}
+	news := r.isNews(known, heard, sentAt)
+	if news {
 		r.put(heard, now)
-		return true
 	}
-	same := heard.Limited == e.limit.Limited && heard.PerSecond == e.limit.PerSecond
-	if same || heard.Incarnation < e.limit.Incarnation || !sentAt.After(e.changedAt) {
-		return false
+	r.mu.Unlock()
+	r.reportChange(news, heard, true)
+}
+
+// isNews reports whether an answer says something else than what is known of its endpoint.
+func (r *RateLimits) isNews(known *limitedEndpoint, heard RateLimit, sentAt time.Time) bool {
+	if known == nil {
+		return heard.Limited
+	}
+	if heard.Incarnation != known.limit.Incarnation {
+		return heard.Incarnation > known.limit.Incarnation
 	}
-	heard.Version = e.limit.Version + 1
-	r.put(heard, now)
-	return true
+	same := heard.Limited == known.limit.Limited && heard.PerSecond == known.limit.PerSecond
+	return !same && sentAt.After(known.changedAt)
 }
 
-// Merge records a limit that another router has reported, and reports whether it is news.
-func (r *RateLimits) Merge(l RateLimit, now time.Time) bool {
+// Merge records a limit that another router has reported.
+func (r *RateLimits) Merge(l RateLimit, now time.Time) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	if e := r.endpoints[l.Endpoint]; e != nil && !l.supersedes(e.limit) {
-		return false
+	known := r.endpoints[l.Endpoint]
+	news := known == nil || l.supersedes(known.limit)
+	if news {
+		r.put(l, now)
+	}
+	r.mu.Unlock()
+	r.reportChange(news, l, false)
+}
+
+func (r *RateLimits) reportChange(news bool, l RateLimit, heard bool) {
+	if news && r.Changed != nil {
+		r.Changed(l, heard)
 	}
-	r.put(l, now)
-	return true
 }
 
 // put stores a limit. The requests that may be sent at once are kept, so that a changed
@@ -129,7 +147,7 @@
 	if r.endpoints == nil {
 		r.endpoints = map[string]*limitedEndpoint{}
 	}
-	next := &limitedEndpoint{limit: l, changedAt: now, usedAt: now, remainingSends: r.Sends(), filledAt: now}
+	next := &limitedEndpoint{limit: l, changedAt: now, usedAt: now, filledAt: now}
 	if old := r.endpoints[l.Endpoint]; old != nil && old.limit.Limited {
 		next.room, next.filledAt = old.room, old.filledAt
 		r.active.Add(-1)
@@ -140,9 +158,6 @@
 	}
 }
 
-// Active reports whether any endpoint has a limit.
-func (r *RateLimits) Active() bool { return r.active.Load() > 0 }
-
 // All returns all limits, those that have ended included.
 func (r *RateLimits) All() []RateLimit {
 	r.mu.Lock()
@@ -154,15 +169,15 @@
 	return out
 }
 
-// NextUpdates returns the changes that still have to be sent to other routers, and counts
-// each as sent once.
-func (r *RateLimits) NextUpdates() []RateLimit {
+// NextUpdates returns the limits that were sent to other routers fewer than the required
+// number of times, and counts each as sent once.
+func (r *RateLimits) NextUpdates(requiredSends int) []RateLimit {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var out []RateLimit
 	for _, e := range r.endpoints {
-		if e.remainingSends > 0 {
-			e.remainingSends--
+		if e.sends < requiredSends {
+			e.sends++
 			out = append(out, e.limit)
 		}
 	}
@@ -187,14 +202,17 @@
 // Wait returns how long this router has to wait before it may send a request to an
 // endpoint; 0 means that it may send one now. ok is false if it has no share of the
 // endpoint's limit.
-func (r *RateLimits) Wait(e *buckthornpin.Endpoint, f Fleet, now time.Time) (wait time.Duration, ok bool) {
+func (r *RateLimits) Wait(e *buckthornpin.Endpoint, now time.Time) (wait time.Duration, ok bool) {
+	if r.active.Load() == 0 {
+		return 0, true
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	l := r.limited(e)
 	if l == nil {
 		return 0, true
 	}
-	l.fill(f, now)
+	r.fill(l, now)
 	switch {
 	case l.share == 0:
 		return 0, false
@@ -204,20 +222,24 @@
 	return max(time.Duration((1-l.room)/l.share*float64(time.Second)), 1), true
 }
 
-// Take reports whether a request may be sent to an endpoint now, and counts it if so.
-func (r *RateLimits) Take(e *buckthornpin.Endpoint, f Fleet, now time.Time) bool {
+// Allows reports whether this router may send a request to an endpoint now.
+func (r *RateLimits) Allows(e *buckthornpin.Endpoint, now time.Time) bool {
+	wait, ok := r.Wait(e, now)
+	return ok && wait == 0
+}
+
+// CountRequest counts a request that is sent to an endpoint. Requests that are chosen for
+// it at the same moment may exceed the limit; later ones make up for that.
+func (r *RateLimits) CountRequest(e *buckthornpin.Endpoint, now time.Time) {
+	if r.active.Load() == 0 {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	l := r.limited(e)
-	if l == nil {
-		return true
-	}
-	l.fill(f, now)
-	if l.share == 0 || l.room < 1 {
-		return false
+	if l := r.limited(e); l != nil {
+		r.fill(l, now)
+		l.room--
 	}
-	l.room--
-	return true
 }
 
 // limited returns the state of an endpoint that has a limit, or nil. The caller holds mu.
@@ -229,10 +251,11 @@
 	return l
 }
 
-// fill adds the requests that this router's share allows since the last call.
-func (l *limitedEndpoint) fill(f Fleet, now time.Time) {
+// fill adds the requests that this router's share allows since the last call. The caller
+// holds mu.
+func (r *RateLimits) fill(l *limitedEndpoint, now time.Time) {
 	if l.sharedAt.IsZero() || now.Sub(l.sharedAt) > shareLifetime {
-		l.share, l.sharedAt = shareOf(l.limit, f), now
+		l.share, l.sharedAt = shareOf(l.limit, r.fleet(now)), now
 	}
 	l.usedAt = now
 	elapsed := max(now.Sub(l.filledAt).Seconds(), 0)
@@ -240,6 +263,13 @@
 	l.room = min(l.room+l.share*elapsed, max(1, l.share*burstTime.Seconds()))
 }
 
+func (r *RateLimits) fleet(now time.Time) Fleet {
+	if r.Fleet == nil {
+		return Fleet{}
+	}
+	return r.Fleet(now)
+}
+
 // shareOf returns a router's share of a limit in requests a second. A small limit is
 // divided among a few routers, which are chosen by rendezvous hashing: all routers that
 // know the same others choose the same ones, without exchanging a message for it, and a
--- a/route/rate_limit_test.go
+++ b/route/rate_limit_test.go
@@ -31,7 +31,7 @@
 	if f.routers[name] == nil {
 		f.names = append(f.names, name)
 	}
-	f.routers[name] = &RateLimits{Sends: func() int { return 1 }}
+	f.routers[name] = &RateLimits{Fleet: func(time.Time) Fleet { return f.fleetOf(name) }}
 }
 
 func (f *limitFleet) stop(name string) {
@@ -58,15 +58,12 @@
 func (f *limitFleet) send(e *buckthornpin.Endpoint, span time.Duration) []time.Time {
 	const step = 20 * time.Millisecond
 	var sent []time.Time
-	fleets := map[string]Fleet{}
-	for _, name := range f.names {
-		fleets[name] = f.fleetOf(name)
-	}
 	f.gossip()
 	for range int(span / step) {
 		f.now = f.now.Add(step)
 		for _, name := range f.names {
-			for f.routers[name].Take(e, fleets[name], f.now) {
+			for f.routers[name].Allows(e, f.now) {
+				f.routers[name].CountRequest(e, f.now)
 				sent = append(sent, f.now)
 			}
 		}
@@ -105,7 +102,7 @@
 			t.Run(fmt.Sprintf("%d routers, %g a second", routers, perSecond), func(t *testing.T) {
 				f := newLimitFleet(routers)
 				e := &buckthornpin.Endpoint{ID: "engine", Incarnation: 1}
-				require.True(t, f.routers["router-0"].Observe(RateLimit{Endpoint: e.ID, Incarnation: 1, Limited: true, PerSecond: perSecond}, f.now, f.now))
+				f.routers["router-0"].Observe(e, buckthornpin.StatedLimit{Stated: true, PerSecond: perSecond}, f.now, f.now)
 				f.gossip()
 				f.send(e, contactTime)
 				before := f.send(e, 8*time.Second)
@@ -125,54 +122,61 @@
 // end, and two routers that hear different limits at the same time.
 func TestLimitChangesAndEnds(t *testing.T) {
 	e := &buckthornpin.Endpoint{ID: "engine", Incarnation: 1}
-	heard := func(perSecond float64) RateLimit {
-		return RateLimit{Endpoint: e.ID, Incarnation: 1, Limited: perSecond > 0, PerSecond: perSecond}
-	}
 	f := newLimitFleet(2)
 	a, b := f.routers["router-0"], f.routers["router-1"]
 	start := f.now
 	at := func(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
+	// observe lets a router receive an answer and returns whether that is news.
+	observe := func(r *RateLimits, perSecond float64, sentAt, now int) bool {
+		news := false
+		r.Changed = func(_ RateLimit, heard bool) { news = heard }
+		r.Observe(e, buckthornpin.StatedLimit{Stated: perSecond > 0, PerSecond: perSecond}, at(sentAt), at(now))
+		r.Changed = nil
+		return news
+	}
 
-	require.False(t, a.Observe(heard(0), at(0), at(1)), "no limit was known")
-	require.True(t, a.Observe(heard(5), at(0), at(1)))
-	require.False(t, a.Observe(heard(0), at(0), at(2)), "sent before the limit was heard")
-	require.True(t, a.Observe(heard(2), at(2), at(3)))
+	require.False(t, observe(a, 0, 0, 1), "no limit was known")
+	require.True(t, observe(a, 5, 0, 1))
+	require.False(t, observe(a, 0, 0, 2), "sent before the limit was heard")
+	require.True(t, observe(a, 2, 2, 3))
 	f.gossip()
 	require.Equal(t, a.All(), b.All())
 
-	require.True(t, a.Observe(heard(3), at(4), at(5)))
-	require.True(t, b.Observe(heard(1), at(4), at(5)))
+	require.True(t, observe(a, 3, 4, 5))
+	require.True(t, observe(b, 1, 4, 5))
 	f.gossip()
 	require.Equal(t, a.All(), b.All())
 	require.InDelta(t, 1, a.All()[0].PerSecond, 0, "the stricter one wins")
 
-	require.True(t, b.Observe(heard(0), at(6), at(7)))
+	require.True(t, observe(b, 0, 6, 7))
 	f.gossip()
-	require.False(t, a.Active())
-	require.True(t, a.Take(e, f.fleetOf("router-0"), at(8)))
+	require.False(t, a.All()[0].Limited)
+	require.True(t, a.Allows(e, at(8)))
 }
 
 // TestLimitEndsWithTheIncarnation checks that the limit of an endpoint doesn't hold after
 // the endpoint has started again.
 func TestLimitEndsWithTheIncarnation(t *testing.T) {
-	r := &RateLimits{Sends: func() int { return 1 }}
-	now := time.Unix(1000, 0)
-	r.Observe(RateLimit{Endpoint: "e", Incarnation: 1, Limited: true, PerSecond: 0.1}, now, now)
+	r, now := &RateLimits{}, time.Unix(1000, 0)
 	old, restarted := &buckthornpin.Endpoint{ID: "e", Incarnation: 1}, &buckthornpin.Endpoint{ID: "e", Incarnation: 2}
-	require.False(t, r.Take(old, Fleet{Self: "a"}, now))
-	require.True(t, r.Take(restarted, Fleet{Self: "a"}, now))
-	require.False(t, r.Merge(RateLimit{Endpoint: "e", Incarnation: 0, Version: 9}, now))
+	r.Observe(old, buckthornpin.StatedLimit{Stated: true, PerSecond: 0.1}, now, now)
+	require.False(t, r.Allows(old, now))
+	require.True(t, r.Allows(restarted, now))
+	r.Merge(RateLimit{Endpoint: "e", Incarnation: 0, Version: 9}, now)
+	require.True(t, r.All()[0].Limited, "an earlier incarnation's limit is ignored")
 }
 
-// TestSweepForgetsLimits checks that endpoints without requests are forgotten.
+// TestSweepForgetsLimits checks that changes are sent as often as required, and that
+// endpoints without requests are forgotten.
 func TestSweepForgetsLimits(t *testing.T) {
-	r := &RateLimits{Sends: func() int { return 2 }}
-	now := time.Unix(1000, 0)
-	r.Observe(RateLimit{Endpoint: "e", Incarnation: 1, Limited: true, PerSecond: 1}, now, now)
-	require.Len(t, r.NextUpdates(), 1)
-	require.Len(t, r.NextUpdates(), 1)
-	require.Empty(t, r.NextUpdates())
+	r, now := &RateLimits{}, time.Unix(1000, 0)
+	e := &buckthornpin.Endpoint{ID: "e", Incarnation: 1}
+	r.Observe(e, buckthornpin.StatedLimit{Stated: true, PerSecond: 0.1}, now, now)
+	const requiredSends = 2
+	require.Len(t, r.NextUpdates(requiredSends), 1)
+	require.Len(t, r.NextUpdates(requiredSends), 1)
+	require.Empty(t, r.NextUpdates(requiredSends))
 	r.Sweep(now.Add(limitRetention + 1))
 	require.Empty(t, r.All())
-	require.False(t, r.Active())
+	require.True(t, r.Allows(e, now))
 }
--- a/route/tracker.go
+++ b/route/tracker.go
@@ -25,6 +25,8 @@
 	// MaxRunning is the largest number of requests that this router may have in progress there;
 	// 0 means no limit.
 	MaxRunning int
+	// Limited is true if this router's share of the endpoint's limit is used up.
+	Limited bool
 }
 
 // PromptPart is a part of a prompt. Endpoints keep the parts that they have read, so that they
@@ -266,7 +268,8 @@
 
 // Choose returns the endpoint at which the request is expected to start first; ok is
 // false if there is none. Endpoints that failed recently come last. An endpoint with the
-// largest allowed number of requests of this router isn't chosen.
+// largest allowed number of requests of this router, or whose limit is used up, isn't
+// chosen.
 func (t *Tracker) Choose(all []EndpointOption, w Work, zone string, now time.Time) (best Choice, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -277,7 +280,7 @@
 	for i, e := range all {
 		s, rank := t.candidates[i].state, t.candidates[i].rank
 		s.forgetAfterRestart(e.Endpoint)
-		if e.MaxRunning > 0 && s.load.Running >= e.MaxRunning {
+		if e.Limited || e.MaxRunning > 0 && s.load.Running >= e.MaxRunning {
 			continue
 		}
 		uncached := s.expectedUncachedTokens(w, i == preferred)
--- a/router/router.go
+++ b/router/router.go
@@ -59,10 +59,8 @@
 	Incarnation func() int64
 	// Policy returns the configuration in force.
 	Policy func() buckthornpin.Policy
-	// Limits holds the limits that endpoints have named, and Fleet returns the routers among
-	// which they are divided; nil if no limits are kept.
+	// Limits holds the limits that endpoints have named.
 	Limits *route.RateLimits
-	Fleet  func() route.Fleet
 	// MaxQueue bounds the requests that wait for an endpoint.
 	MaxQueue int
 	// MaxAttempts bounds the attempts per request.
@@ -109,7 +107,7 @@
 		directory: r.Directory, zone: r.Zone, maxQueue: r.MaxQueue,
 		denied: func() []string { return r.Policy().DeniedEndpoints },
 		now:    time.Now, loads: map[string]*endpointLoad{}, seed: rand.Uint64(),
-		limits: r.Limits, fleet: r.Fleet,
+		limits: r.Limits,
 	}
 }
 
--- a/router/slots.go
+++ b/router/slots.go
@@ -36,10 +36,7 @@
 	maxQueue  int
 	denied    func() []string
 	now       func() time.Time
-	// limits holds the limits that endpoints have named, and fleet returns the routers among
-	// which they are divided; nil if no limits are kept.
-	limits *route.RateLimits
-	fleet  func() route.Fleet
+	limits    *route.RateLimits
 
 	mu      sync.Mutex
 	loads   map[string]*endpointLoad
@@ -149,7 +146,7 @@
 	s.scratch = s.scratch[:0]
 	now := s.now()
 	for _, e := range s.directory.Serving(target) {
-		c := route.Candidate{Endpoint: e, Tried: tried[e.ID], Limited: s.limitUsedUp(e, now)}
+		c := route.Candidate{Endpoint: e, Tried: tried[e.ID], Limited: !s.limits.Allows(e, now)}
 		if l := s.loads[e.ID]; l != nil {
 			c.InFlight, c.OpenUntil = l.inFlight, l.openUntil
 		}
@@ -162,23 +159,11 @@
 		return slot{}, verdict
 	}
 	e := s.scratch[i].Endpoint
-	if s.limits != nil && s.limits.Active() {
-		s.limits.Take(e, s.fleet(), now)
-	}
+	s.limits.CountRequest(e, now)
 	s.loadOf(e.ID).inFlight++
 	return slot{endpoint: e, pool: s}, verdict
 }
 
-// limitUsedUp reports whether this router may send no request to an endpoint now. Requests
-// are counted under mu, so that none comes between this and the choice.
-func (s *slots) limitUsedUp(e *buckthornpin.Endpoint, now time.Time) bool {
-	if s.limits == nil || !s.limits.Active() {
-		return false
-	}
-	wait, ok := s.limits.Wait(e, s.fleet(), now)
-	return !ok || wait > 0
-}
-
 // loadOf returns the load of an endpoint, creating it if it is missing. The caller holds mu.
 func (s *slots) loadOf(id string) *endpointLoad {
 	l, ok := s.loads[id]
