--- a/app/load.go
+++ b/app/load.go
@@ -112,7 +112,7 @@
 		if offset > l.Duration {
 			break
 		}
-		wait(ctx, time.Until(started.Add(offset)))
+		buckthornpin.Wait(ctx, time.Until(started.Add(offset)))
 		l.report.Sent++
 		url := l.URLs[n%len(l.URLs)]
 		content := fmt.Sprintf("question %d of %d @tokens=%d", n, l.Seed, l.Tokens)
--- a/app/run.go
+++ b/app/run.go
@@ -49,7 +49,7 @@
 	if p.router == nil {
 		return
 	}
-	wait(ctx, time.Duration(p.Settings.Balancer.DrainDelay))
+	buckthornpin.Wait(ctx, time.Duration(p.Settings.Balancer.DrainDelay))
 	p.refusingRequests.Store(true)
 	done := make(chan struct{})
 	go func() {
@@ -64,15 +64,6 @@
 	p.leases.Close(ctx)
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // tasks returns the long-running tasks of the process.
 func (p *Process) tasks(ctx context.Context) ([]task, error) {
 	tasks := []task{{"batcher", p.batcher.Run}, {"mirror", p.mirror.Run}, p.healthTask()}
--- a/app/site.go
+++ b/app/site.go
@@ -255,7 +255,7 @@
 			if ctx.Err() != nil {
 				return errors.Wrap(ctx.Err(), "wait for the routers to receive the key")
 			}
-			wait(ctx, readyPollInterval)
+			buckthornpin.Wait(ctx, readyPollInterval)
 		}
 	}
 	return nil
--- a/integ/fleet_calm_test.go
+++ b/integ/fleet_calm_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"buckthornpin"
 )
 
 // startLoad starts callers for each organisation and returns a function that stops them.
@@ -30,14 +32,7 @@
 }
 
 // wait waits for a time, or until the fleet is closed.
-func (f *fleet) wait(span time.Duration) {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-f.ctx.Done():
-	}
-}
+func (f *fleet) wait(span time.Duration) { buckthornpin.Wait(f.ctx, span) }
 
 // requireNoViolations requires that none of the rules that hold at all times was broken.
 func (f *fleet) requireNoViolations() {
