Shares: limits on their use are kept in time, the boot clock is read once

Each reservation, transfer, balance and share in a report read the boot clock by a system call, and its reading went beside the time through all calls. Limits are kept as times and become readings where they are reported.

Control counted all processes of a budget three times for each reported share; it does so once. started_ns isn't stored, since only the first report of a process uses it.

budget/limit.go is budget/use_limit.go, beside the limits that endpoints name. The schedules run in fake time, so that rates and unanswered reports take part, and use up what a report allows. No bound is looser.

--- a/app/fleet.go
+++ b/app/fleet.go
@@ -202,8 +202,7 @@
 	platform := p.Settings.Platform
 	p.shares = &budget.ShareManager{
 		Control: p.client, Lenders: p.mesh, Address: platform.MeshAddress(), Incarnation: p.started.UnixNano(),
-		Horizon: shareHorizonContacts * time.Duration(platform.Contact),
-		Clock:   budget.BootClock{Boot: clock.Boot(), ReadingNS: clock.ReadingNS}, LimitTime: time.Duration(platform.Contact), Log: p.Log,
+		Horizon: shareHorizonContacts * time.Duration(platform.Contact), LimitTime: time.Duration(platform.Contact), ReadBoot: clock.ReadBoot, Log: p.Log,
 	}
 	p.shares.Open()
 	p.mirror = &ctrl.SiteMirror{
--- a/budget/borrow.go
+++ b/budget/borrow.go
@@ -14,7 +14,7 @@
 	attempted := false
 	for {
 		m.mu.Lock()
-		if s.reserve(tokens, time.Now(), m.Clock.reading()) {
+		if s.reserve(tokens, time.Now()) {
 			m.mu.Unlock()
 			return buckthornpin.Covered
 		}
@@ -55,7 +55,7 @@
 	defer func() {
 		m.mu.Lock()
 		s.acquiring = false
-		if s.available(m.Clock.reading()) < tokens {
+		if s.available(time.Now()) < tokens {
 			s.failedAt = time.Now()
 		}
 		s.notifyWaiters()
@@ -83,7 +83,7 @@
 func (m *ShareManager) shortfall(s *share) int64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return s.waiting - s.available(m.Clock.reading())
+	return s.waiting - s.available(time.Now())
 }
 
 // lenders returns the routers to ask for tokens on behalf of one request.
@@ -120,9 +120,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	out := make([]*wire.BalanceState, 0, len(m.shares))
-	reading := m.Clock.reading()
+	now := time.Now()
 	for name, s := range m.shares {
-		out = append(out, &wire.BalanceState{Organisation: name, Tokens: s.available(reading)})
+		out = append(out, &wire.BalanceState{Organisation: name, Tokens: s.available(now)})
 	}
 	return out
 }
@@ -141,10 +141,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.share(r.GetOrganisation())
-	reading := m.Clock.reading()
-	tokens := donation(s.available(reading), r.GetTokens(), s.rate.perSecond(time.Now()), float64(r.GetRate()))
-	total := s.donate(peerKey{address: r.GetVm(), incarnation: r.GetIncarnation()}, tokens, reading)
-	return &wire.TransferReply{Incarnation: m.Incarnation, Transferred: total, Balance: s.available(reading)}
+	now := time.Now()
+	tokens := donation(s.available(now), r.GetTokens(), s.rate.perSecond(now), float64(r.GetRate()))
+	total := s.donate(peerKey{address: r.GetVm(), incarnation: r.GetIncarnation()}, tokens, now)
+	return &wire.TransferReply{Incarnation: m.Incarnation, Transferred: total, Balance: s.available(now)}
 }
 
 // AcceptHandOver implements peer.Budgets.
--- a/budget/close.go
+++ b/budget/close.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"buckthornpin"
 	"buckthornpin/wire"
 )
 
@@ -43,7 +44,7 @@
 	m.mu.Lock()
 	reachable := time.Since(m.lastAnswer) <= maxControlSilence
 	m.mu.Unlock()
-	if m.Clock.Boot == 0 || !reachable {
+	if m.boot.ID == 0 || !reachable {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, urgentTimeout)
@@ -66,7 +67,7 @@
 		if remaining <= 0 {
 			return
 		}
-		wait(ctx, limitedFor)
+		buckthornpin.Wait(ctx, limitedFor)
 	}
 }
 
@@ -76,11 +77,11 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.share(name)
-	reading := m.Clock.reading()
+	now := time.Now()
 	// The successor's incarnation isn't known before it answers, and isn't needed:
 	// this process is ending and makes no further transfers.
-	total = s.donate(peerKey{address: successor}, s.balance(), reading)
-	return total, s.balance(), s.limitedFor(reading)
+	total = s.donate(peerKey{address: successor}, s.balance(), now)
+	return total, s.balance(), s.limitedFor(now)
 }
 
 func (m *ShareManager) sendHandOver(ctx context.Context, name, successor string, total int64) bool {
@@ -93,12 +94,3 @@
 	}
 	return err == nil
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/budget/escrow_test.go
+++ b/budget/escrow_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -16,7 +17,7 @@
 
 var schedules = flag.Int("schedules", 300, "number of schedules of the overspend test")
 
-// faultSimulation runs control and several routers. Messages between them are lost,
+// faultSimulation runs control and several routers in the fake time of a synctest bubble. Messages between them are lost,
 // delayed or duplicated, connections are cut, and routers are killed and restarted.
 type faultSimulation struct {
 	random  *rand.Rand
@@ -29,7 +30,6 @@
 	total           int64
 	highestTotal    int64
 	version         int64
-	nowMS           int64
 	lastIncarnation int64
 	limitTime       time.Duration
 	// delayed holds messages and commands that may still be delivered, any number of times.
@@ -38,7 +38,7 @@
 
 func newFaultSimulation(seed uint64, routers int) *faultSimulation {
 	sim := &faultSimulation{
-		random: rand.New(rand.NewPCG(seed, 1)), control: newControl(1_000_000), total: 1_000_000, highestTotal: 1_000_000, version: 1, nowMS: 1,
+		random: rand.New(rand.NewPCG(seed, 1)), control: newControl(1_000_000), total: 1_000_000, highestTotal: 1_000_000, version: 1,
 		limitTime: 3 * time.Second,
 	}
 	for i := range routers {
@@ -55,13 +55,10 @@
 	sim.reserved[i] = 0
 	sim.routers[i] = &ShareManager{
 		Lenders: noLenders{}, Address: fmt.Sprintf("router-%d", i), Incarnation: sim.lastIncarnation, Horizon: 3 * sim.limitTime,
-		Clock: BootClock{Boot: 1, ReadingNS: sim.reading}, LimitTime: sim.limitTime, Log: zerolog.Nop(),
+		ReadBoot: readTestBoot, LimitTime: sim.limitTime, Log: zerolog.Nop(),
 	}
 }
 
-// reading returns the reading of the boot clock of all VMs. It rises with each step.
-func (sim *faultSimulation) reading() int64 { return sim.nowMS * int64(time.Millisecond) }
-
 // Execute implements Committer. Commands or their results get lost, and commands may
 // be applied again later.
 func (sim *faultSimulation) Execute(_ context.Context, commands []*wire.Command) ([]*wire.Result, error) {
@@ -81,14 +78,14 @@
 func (sim *faultSimulation) apply(commands []*wire.Command) []*wire.Result {
 	var out []*wire.Result
 	for _, c := range commands {
-		c.AtMs = sim.nowMS
+		c.AtMs = time.Now().UnixMilli()
 		out = append(out, sim.control.ledger.Apply(c))
 	}
 	return out
 }
 
 func (sim *faultSimulation) step() {
-	sim.nowMS += 1 + int64(sim.random.IntN(500))
+	time.Sleep(time.Duration(1+sim.random.IntN(500)) * time.Millisecond)
 	i := sim.random.IntN(len(sim.routers))
 	r := sim.routers[i]
 	switch sim.random.IntN(12) {
@@ -118,7 +115,7 @@
 
 func (sim *faultSimulation) reserve(i int, r *ShareManager) {
 	tokens := int64(1 + sim.random.IntN(60_000))
-	if r.share("fleet").reserve(tokens, time.Now(), sim.reading()) {
+	if r.share("fleet").reserve(tokens, time.Now()) {
 		sim.reserved[i] += tokens
 		// The endpoint may generate all of the tokens even if the router is killed.
 		sim.spent += tokens
@@ -168,7 +165,7 @@
 	}
 	r := sim.routers[from]
 	s := r.share("fleet")
-	total := s.donate(peerKey{address: sim.routers[to].Address}, s.balance(), sim.reading())
+	total := s.donate(peerKey{address: sim.routers[to].Address}, s.balance(), time.Now())
 	request := &wire.GiveRequest{Vm: r.Address, Incarnation: r.Incarnation, Organisation: "fleet", Transferred: total}
 	successor := sim.routers[to]
 	sim.deliver(func() { successor.AcceptHandOver(request) })
@@ -194,7 +191,7 @@
 	sim.version++
 	sim.total = int64(sim.random.IntN(2_000_000))
 	sim.highestTotal = max(sim.highestTotal, sim.total)
-	sim.control.ledger.Apply(&wire.Command{AtMs: sim.nowMS, Op: &wire.Command_PutSite{PutSite: &wire.PutSite{
+	sim.control.ledger.Apply(&wire.Command{AtMs: time.Now().UnixMilli(), Op: &wire.Command_PutSite{PutSite: &wire.PutSite{
 		Version: sim.version, Totals: []*wire.OrganisationTotal{{Organisation: "fleet", Tokens: sim.total}},
 	}}})
 }
@@ -204,11 +201,13 @@
 // whichever routers are cut off or killed.
 func TestNoScheduleOverspends(t *testing.T) {
 	for seed := range uint64(*schedules) {
-		sim := newFaultSimulation(seed, 4)
-		for n := range 400 {
-			sim.step()
-			require.LessOrEqual(t, sim.spent, sim.highestTotal, "seed %d, step %d", seed, n)
-		}
+		synctest.Test(t, func(t *testing.T) {
+			sim := newFaultSimulation(seed, 4)
+			for n := range 400 {
+				sim.step()
+				require.LessOrEqual(t, sim.spent, sim.highestTotal, "seed %d, step %d", seed, n)
+			}
+		})
 	}
 }
 
@@ -228,16 +227,20 @@
 // stepTowardRestart makes a step of a schedule in which routers spend what they may and
 // are restarted often.
 func (sim *faultSimulation) stepTowardRestart() {
-	sim.nowMS += 1 + int64(sim.random.IntN(500))
+	time.Sleep(time.Duration(1+sim.random.IntN(500)) * time.Millisecond)
 	i, other := sim.random.IntN(len(sim.routers)), sim.random.IntN(len(sim.routers))
 	switch sim.random.IntN(13) {
 	case 12:
-		sim.nowMS += sim.random.Int64N(sim.limitTime.Milliseconds() + 1)
+		time.Sleep(time.Duration(sim.random.Int64N(int64(sim.limitTime) + 1)))
 	case 0, 1:
 		sim.start(i)
 		sim.report(i)
 	case 2, 3, 4:
+		// The limit that a report sets is soon used up, whether or not it has arrived.
 		sim.report(i)
+		for range 8 {
+			sim.reserve(i, sim.routers[i])
+		}
 	case 5:
 		sim.transfer(i, other)
 	case 6:
@@ -262,14 +265,16 @@
 // their end.
 func TestTakenBackSharesAreNotSpentTwice(t *testing.T) {
 	for seed := range uint64(*schedules) {
-		sim := newFaultSimulation(seed, 3)
-		sim.limitTime = []time.Duration{time.Second, 4 * time.Second, 20 * time.Second}[seed%3]
-		for i := range sim.routers {
-			sim.start(i)
-		}
-		for n := range 400 {
-			sim.stepTowardRestart()
-			require.LessOrEqual(t, sim.usableTokens(), sim.total, "seed %d, step %d", seed, n)
-		}
+		synctest.Test(t, func(t *testing.T) {
+			sim := newFaultSimulation(seed, 3)
+			sim.limitTime = []time.Duration{time.Second, 4 * time.Second, 20 * time.Second}[seed%3]
+			for i := range sim.routers {
+				sim.start(i)
+			}
+			for n := range 400 {
+				sim.stepTowardRestart()
+				require.LessOrEqual(t, sim.usableTokens(), sim.total, "seed %d, step %d", seed, n)
+			}
+		})
 	}
 }
--- a/budget/report.go
+++ b/budget/report.go
@@ -51,10 +51,10 @@
 	c := &wire.ReportShares{Router: m.Address, Incarnation: m.Incarnation, HorizonMs: m.Horizon.Milliseconds()}
 	m.mu.Lock()
 	now := time.Now()
-	if m.startedNS == 0 {
-		m.startedNS = m.Clock.reading()
+	if m.boot.ID == 0 && m.ReadBoot != nil {
+		m.boot = m.ReadBoot()
 	}
-	c.Closing, c.Boot, c.StartedNs = m.closing, m.Clock.Boot, m.startedNS
+	c.Closing, c.Boot, c.StartedNs = m.closing, m.boot.ID, m.boot.ReadingNS
 	for _, name := range organisations {
 		s := m.share(name)
 		r := s.report(name, now)
@@ -84,10 +84,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, r := range reports {
-		s := m.share(r.GetOrganisation())
-		if r.GetLimit() != nil {
-			s.confirmLimit(r.GetLimit())
-		}
+		m.share(r.GetOrganisation()).confirmLimit(r.GetLimit().GetSequence())
 	}
 }
 
--- a/budget/share.go
+++ b/budget/share.go
@@ -5,8 +5,6 @@
 	"math"
 	"slices"
 	"time"
-
-	"buckthornpin/wire"
 )
 
 // peerKey identifies a router process that tokens were exchanged with.
@@ -45,7 +43,7 @@
 	changed chan struct{}
 	// limits are the limits on the share's use that control may act on: the last one that
 	// it has confirmed, and later ones.
-	limits        []*wire.UseLimit
+	limits        []*useLimit
 	limitSequence int64
 	// dirty is true if the newest counts haven't been reported to control.
 	dirty bool
@@ -77,10 +75,9 @@
 	return s.granted + s.receivedTotal - s.returned - s.donatedTotal - s.spent - s.reserved
 }
 
-// reserve reserves tokens for a request if that many are available at a reading of the
-// boot clock.
-func (s *share) reserve(tokens int64, now time.Time, readingNS int64) bool {
-	if s.available(readingNS) < tokens {
+// reserve reserves tokens for a request if that many are available.
+func (s *share) reserve(tokens int64, now time.Time) bool {
+	if s.available(now) < tokens {
 		return false
 	}
 	s.reserved += tokens
@@ -119,10 +116,10 @@
 	s.notifyWaiters()
 }
 
-// donate hands tokens that are available at a reading of the boot clock to another
-// process and returns the cumulative count of tokens donated to it.
-func (s *share) donate(to peerKey, tokens, readingNS int64) int64 {
-	tokens = max(min(tokens, s.available(readingNS)), 0)
+// donate hands tokens that are available to another process and returns the cumulative
+// count of tokens donated to it.
+func (s *share) donate(to peerKey, tokens int64, now time.Time) int64 {
+	tokens = max(min(tokens, s.available(now)), 0)
 	s.donated[to] += tokens
 	s.donatedTotal += tokens
 	s.dirty = s.dirty || tokens > 0
--- /dev/null
+++ b/budget/use_limit.go
@@ -0,0 +1,126 @@
+package budget
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"buckthornpin/clock"
+	"buckthornpin/ledger"
+	"buckthornpin/wire"
+)
+
+// A router process tells control with each report how many tokens it will have used at
+// most until its VM's boot clock reaches a reading, and keeps to that. If the process
+// ends, the next one on the VM reads the clock when it starts. A reading before the end
+// of the limit proves that the earlier process never went beyond it, so that control takes
+// the rest of its share back. Only the order of readings of one clock counts, not its rate.
+
+const (
+	// maxUnanswered is how long control may leave reports unanswered before a router stops
+	// setting itself new limits. The last ones then end, and the router may use its whole
+	// share.
+	maxUnanswered = ReportInterval
+	// limitReserve is the time for which a limit exceeds the demand that is expected until
+	// the next report.
+	limitReserve = 2 * ReportInterval
+)
+
+// useLimit bounds the tokens of a share that may have been used, from one time to another.
+// The bound rises evenly.
+type useLimit struct {
+	sequence, tokens, tokensPerSecond int64
+	// until is zero if the use isn't limited.
+	from, until time.Time
+}
+
+// state returns the limit as it is reported to control, with readings of the boot clock.
+func (l *useLimit) state(b clock.Boot) *wire.UseLimit {
+	if l.until.IsZero() {
+		return &wire.UseLimit{Sequence: l.sequence}
+	}
+	return &wire.UseLimit{
+		Sequence: l.sequence, Tokens: l.tokens, TokensPerSecond: l.tokensPerSecond, FromNs: b.ReadingAt(l.from), UntilNs: b.ReadingAt(l.until),
+	}
+}
+
+// room returns how many tokens beyond those used the limit allows.
+func (l *useLimit) room(used int64, now time.Time) int64 {
+	if !now.Before(l.until) {
+		return math.MaxInt64
+	}
+	return ledger.AllowedUse(l.tokens, l.tokensPerSecond, now.Sub(l.from)) - used
+}
+
+// used returns the number of tokens that the share has used or may still use for
+// requests in progress, including those given to other routers.
+func (s *share) used() int64 { return s.spent + s.reserved + s.donatedTotal }
+
+// available returns the number of tokens that can be used now.
+func (s *share) available(now time.Time) int64 {
+	tokens := s.balance()
+	for _, l := range s.limits {
+		tokens = min(tokens, l.room(s.used(), now))
+	}
+	return max(tokens, 0)
+}
+
+// limitedFor returns for how long a limit keeps a part of the balance from being used.
+func (s *share) limitedFor(now time.Time) time.Duration {
+	d := time.Duration(0)
+	for _, l := range s.limits {
+		if l.room(s.used(), now) < s.balance() {
+			d = max(d, l.until.Sub(now))
+		}
+	}
+	return d
+}
+
+// nextLimit returns the limit to send with a report, or nil if the VM's boot isn't known. A
+// limit binds from the moment it is sent, because its report may be applied even if no
+// answer arrives.
+func (m *ShareManager) nextLimit(s *share, now time.Time) *wire.UseLimit {
+	if m.boot.ID == 0 {
+		return nil
+	}
+	s.dropEndedLimits(now)
+	unanswered := !m.unansweredSince.IsZero() && now.Sub(m.unansweredSince) > maxUnanswered
+	if !unanswered || m.closing {
+		s.addLimit(m.newLimit(s, now))
+	}
+	if len(s.limits) == 0 {
+		return nil
+	}
+	return s.limits[len(s.limits)-1].state(m.boot)
+}
+
+// newLimit returns a limit that allows the demand until control's next answer. Shares that
+// are handed over, and those without demand, which other routers may borrow, aren't limited.
+func (m *ShareManager) newLimit(s *share, now time.Time) *useLimit {
+	if m.closing || s.largestBound == 0 {
+		return &useLimit{}
+	}
+	// Other routers may borrow the whole share within the horizon.
+	rate := max(s.rate.perSecond(now), float64(s.balance())/m.Horizon.Seconds())
+	return &useLimit{
+		tokens: s.used() + s.waiting + s.largestBound + int64(rate*limitReserve.Seconds()), tokensPerSecond: int64(rate),
+		from: now, until: now.Add(m.LimitTime),
+	}
+}
+
+func (s *share) addLimit(l *useLimit) {
+	s.limitSequence++
+	l.sequence = s.limitSequence
+	s.limits = append(s.limits, l)
+}
+
+// dropEndedLimits drops the limits that have ended, except for the newest one, which is
+// sent again until control answers.
+func (s *share) dropEndedLimits(now time.Time) {
+	s.limits = slices.DeleteFunc(s.limits, func(l *useLimit) bool { return l.sequence < s.limitSequence && !now.Before(l.until) })
+}
+
+// confirmLimit drops the limits before the one that control has confirmed.
+func (s *share) confirmLimit(sequence int64) {
+	s.limits = slices.DeleteFunc(s.limits, func(l *useLimit) bool { return l.sequence < sequence })
+}
--- a/budget/limit_test.go
+++ b/budget/use_limit_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"buckthornpin"
+	"buckthornpin/clock"
 	"buckthornpin/wire"
 )
 
@@ -17,21 +18,31 @@
 	testBudget    = 1_000_000
 )
 
-// newLimitedManager returns a manager on a VM with a boot clock, with a share on whose use
-// control knows a limit.
-func newLimitedManager(c *ledgerControl, incarnation int64) *ShareManager {
+// readTestBoot reads the boot clock of a VM that never restarts, in fake time.
+func readTestBoot() clock.Boot {
+	return clock.Boot{ID: 1, ReadingNS: time.Now().UnixNano(), At: time.Now()}
+}
+
+// newIdleManager returns a manager on a VM with a boot clock, with a share of an
+// organisation that has sent no request.
+func newIdleManager(c *ledgerControl, incarnation int64) *ShareManager {
 	m := newShareManager(c, "a")
 	m.Incarnation = incarnation
-	m.Clock = BootClock{Boot: 1, ReadingNS: func() int64 { return time.Now().UnixNano() }}
-	m.LimitTime = testLimitTime
+	m.ReadBoot, m.LimitTime = readTestBoot, testLimitTime
 	for range 2 {
 		m.report(context.Background(), []string{"fleet"})
 	}
-	s := m.share("fleet")
-	if s.reserve(1, time.Now(), m.Clock.ReadingNS()) {
-		s.settle(1, 0, time.Now())
-	}
+	return m
+}
+
+// newLimitedManager returns a manager with a share on whose use control knows a limit.
+func newLimitedManager(t *testing.T, c *ledgerControl, incarnation int64) *ShareManager {
+	t.Helper()
+	m := newIdleManager(c, incarnation)
+	require.Equal(t, buckthornpin.Covered, reserve(t, m, 1))
+	m.Settle("fleet", 1, 0)
 	m.report(context.Background(), []string{"fleet"})
+	require.Less(t, m.share("fleet").available(time.Now()), m.share("fleet").balance())
 	return m
 }
 
@@ -40,15 +51,10 @@
 // be lent at once.
 func TestIdleShareCanBeLent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m := newShareManager(newControl(testBudget), "a")
-		m.Clock = BootClock{Boot: 1, ReadingNS: func() int64 { return time.Now().UnixNano() }}
-		m.LimitTime = testLimitTime
-		for range 2 {
-			m.report(context.Background(), []string{"fleet"})
-		}
+		m := newIdleManager(newControl(testBudget), 1)
 		s := m.share("fleet")
 		require.Positive(t, s.balance())
-		require.Equal(t, s.balance(), s.available(m.Clock.ReadingNS()))
+		require.Equal(t, s.balance(), s.available(time.Now()))
 	})
 }
 
@@ -56,9 +62,8 @@
 // limit doesn't is covered after one report.
 func TestRequestAboveTheLimitAsksControl(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m := newLimitedManager(newControl(testBudget), 1)
+		m := newLimitedManager(t, newControl(testBudget), 1)
 		tokens := m.share("fleet").balance()
-		require.Less(t, m.share("fleet").available(m.Clock.ReadingNS()), tokens)
 		require.Equal(t, buckthornpin.Covered, reserve(t, m, tokens))
 	})
 }
@@ -67,16 +72,15 @@
 // beyond the limit: control would take them back although the other router spends them.
 func TestTransfersCountTowardsTheLimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m := newLimitedManager(newControl(testBudget), 1)
+		m := newLimitedManager(t, newControl(testBudget), 1)
 		s := m.share("fleet")
-		room := s.available(m.Clock.ReadingNS())
-		require.Less(t, room, s.balance())
+		room := s.available(time.Now())
 		given := int64(0)
 		for range 20 {
 			given = m.Donate(&wire.TransferRequest{Vm: "b", Organisation: "fleet", Tokens: testBudget}).GetTransferred()
 		}
 		require.LessOrEqual(t, given, room)
-		require.False(t, s.reserve(room-given+1, time.Now(), m.Clock.ReadingNS()))
+		require.False(t, s.reserve(room-given+1, time.Now()))
 	})
 }
 
@@ -85,7 +89,7 @@
 func TestLimitsEndDuringAnOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newControl(testBudget)
-		m := newLimitedManager(c, 1)
+		m := newLimitedManager(t, c, 1)
 		tokens := m.share("fleet").balance()
 		c.cut = true
 		require.NotEqual(t, buckthornpin.Covered, reserve(t, m, tokens))
@@ -103,7 +107,7 @@
 func TestStopDuringAnOutageHandsOverBehindTheLimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newControl(testBudget)
-		stopping, remaining := newLimitedManager(c, 1), newShareManager(c, "b")
+		stopping, remaining := newLimitedManager(t, c, 1), newShareManager(c, "b")
 		stopping.Lenders = &successor{manager: remaining, lost: 1}
 		held := stopping.share("fleet").balance()
 		require.Positive(t, held)
@@ -121,7 +125,7 @@
 func TestStopHandsOverAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newControl(testBudget)
-		stopping, remaining := newLimitedManager(c, 1), newShareManager(c, "b")
+		stopping, remaining := newLimitedManager(t, c, 1), newShareManager(c, "b")
 		stopping.Lenders = &successor{manager: remaining}
 		held := stopping.share("fleet").balance()
 		started := time.Now()
@@ -130,7 +134,7 @@
 		require.Equal(t, held, remaining.share("fleet").balance())
 
 		time.Sleep(time.Millisecond)
-		next := newLimitedManager(c, 2)
+		next := newLimitedManager(t, c, 2)
 		require.Less(t, next.share("fleet").balance()+remaining.share("fleet").balance(), int64(testBudget))
 		granted := int64(0)
 		for _, s := range c.ledger.Shares() {
--- a/budget/wallet.go
+++ b/budget/wallet.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"buckthornpin"
+	"buckthornpin/clock"
 	"buckthornpin/wire"
 )
 
@@ -70,18 +71,18 @@
 	Incarnation int64
 	// Horizon is how long the shares should last without control.
 	Horizon time.Duration
-	// Clock is the boot clock of this VM.
-	Clock BootClock
-	// LimitTime is how long a limit on the use of a share holds. A share is lost if the
-	// next process on the VM starts later than that after the last report.
+	// ReadBoot reads the boot clock of this VM; if nil, the use of the shares isn't limited.
+	ReadBoot func() clock.Boot
+	// LimitTime is how long a limit on the use of a share holds. Control can take back the
+	// unused part if the next process on the VM starts within that time.
 	LimitTime time.Duration
 	Log       zerolog.Logger
 
 	mu     sync.Mutex
 	shares map[string]*share
-	// startedNS is the reading of the clock at the first report. The process listens by
-	// then, so that no earlier process of the VM is left.
-	startedNS  int64
+	// boot is read before the first report. The process listens by then, so that no earlier
+	// process of the VM is left.
+	boot       clock.Boot
 	lastAnswer time.Time
 	// unansweredSince is when the first report after control's last answer was sent, or
 	// zero.
@@ -148,7 +149,7 @@
 		m.mu.Unlock()
 		return buckthornpin.ReservationResult{Coverage: buckthornpin.MaybeCoveredElsewhere}
 	}
-	if s.reserve(tokens, time.Now(), m.Clock.reading()) {
+	if s.reserve(tokens, time.Now()) {
 		m.mu.Unlock()
 		m.metrics.covered.Add(1)
 		return buckthornpin.ReservationResult{Coverage: buckthornpin.Covered}
--- a/clock/boot.go
+++ b/clock/boot.go
@@ -5,6 +5,7 @@
 
 import (
 	"os"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
@@ -16,24 +17,31 @@
 	timeNamespacePath = "/proc/self/ns/time"
 )
 
-// Boot returns a number that identifies the boot of the VM, and the time namespace if
-// the kernel has them; 0 if the boot can't be identified.
-func Boot() uint64 {
+// Boot is a boot of the VM, with one reading of its clock.
+type Boot struct {
+	// ID identifies the boot; 0 if it isn't known.
+	ID uint64
+	// ReadingNS is the reading of the clock in nanoseconds, at the time At or before.
+	ReadingNS int64
+	At        time.Time
+}
+
+// ReadBoot reads the boot clock. The ID of the result is 0 if the clock can't be read or
+// its boot can't be identified.
+func ReadBoot() Boot {
 	id, err := os.ReadFile(bootIDPath)
 	if err != nil || len(id) == 0 {
-		return 0
+		return Boot{}
 	}
-	// Kernels before 5.6 have no time namespaces.
-	namespace, _ := os.Readlink(timeNamespacePath)
-	return xxhash.Sum64String(string(id) + namespace)
-}
-
-// ReadingNS returns the reading of the boot clock in nanoseconds, or 0 if it can't be
-// read.
-func ReadingNS() int64 {
 	var t unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
-		return 0
+		return Boot{}
 	}
-	return t.Nano()
+	// Kernels before 5.6 have no time namespaces.
+	namespace, _ := os.Readlink(timeNamespacePath)
+	return Boot{ID: xxhash.Sum64String(string(id) + namespace), ReadingNS: t.Nano(), At: time.Now()}
 }
+
+// ReadingAt returns a reading of the clock that it had reached at a time, in nanoseconds.
+// It falls behind the clock while the VM is suspended.
+func (b Boot) ReadingAt(t time.Time) int64 { return b.ReadingNS + t.Sub(b.At).Nanoseconds() }
--- a/ledger/account_test.go
+++ b/ledger/account_test.go
@@ -17,8 +17,7 @@
 	held := reportOneShare(l, 1_100, "b", &wire.ShareReport{Need: 20_000}).GetGranted()
 	reportOneShare(l, 1_200, "b", &wire.ShareReport{Spent: 5_000, Balance: held - 5_000})
 
-	c := &wire.ReportShares{Router: "a", Incarnation: 2, HorizonMs: horizonMS, Shares: []*wire.ShareReport{{Organisation: "fleet"}}}
-	g := l.Apply(&wire.Command{AtMs: 1_300, Op: &wire.Command_ReportShares{ReportShares: c}}).GetGrants()[0]
+	g := process{incarnation: 2}.report(l, 1_300, &wire.ShareReport{})
 	require.Equal(t, int64(100_000), g.GetTotal())
 	require.Equal(t, int64(5_000), g.GetSpent())
 	require.Equal(t, held-5_000+g.GetGranted(), g.GetHeld())
--- a/ledger/ended_test.go
+++ b/ledger/ended_test.go
@@ -9,10 +9,10 @@
 )
 
 const (
-	sameBoot    = 77
-	secondNS    = 1_000_000_000
-	limitedFrom = secondNS / 2
-	limitedAt   = 5 * secondNS
+	sameBoot     = 77
+	secondNS     = 1_000_000_000
+	limitedFrom  = secondNS / 2
+	limitedUntil = 5 * secondNS
 )
 
 // process is a router process in a test of ended processes.
@@ -36,7 +36,7 @@
 	l := ledgerWithTotal(100_000)
 	p := process{incarnation: 1, startedNS: secondNS, boot: sameBoot}
 	p.report(l, 1_000, &wire.ShareReport{Need: 60_000})
-	p.report(l, 1_400, &wire.ShareReport{Balance: 60_000, Limit: &wire.UseLimit{Sequence: 1, Tokens: 20_000, FromNs: limitedFrom, UntilNs: limitedAt}})
+	p.report(l, 1_400, &wire.ShareReport{Balance: 60_000, Limit: &wire.UseLimit{Sequence: 1, Tokens: 20_000, FromNs: limitedFrom, UntilNs: limitedUntil}})
 	return l, p
 }
 
@@ -49,12 +49,12 @@
 // VM runs a new one.
 func TestEndedProcessGivesBack(t *testing.T) {
 	for name, c := range map[string]struct {
-		next     process
-		takenOff int64
+		next      process
+		takenBack int64
 	}{
-		"while the limit holds":  {process{incarnation: 2, startedNS: limitedAt - 1, boot: sameBoot}, 40_000},
-		"after the limit":        {process{incarnation: 2, startedNS: limitedAt, boot: sameBoot}, 0},
-		"after another boot":     {process{incarnation: 2, startedNS: limitedAt - 1, boot: sameBoot + 1}, 0},
+		"while the limit holds":  {process{incarnation: 2, startedNS: limitedUntil - 1, boot: sameBoot}, 40_000},
+		"after the limit":        {process{incarnation: 2, startedNS: limitedUntil, boot: sameBoot}, 0},
+		"after another boot":     {process{incarnation: 2, startedNS: limitedUntil - 1, boot: sameBoot + 1}, 0},
 		"without a clock":        {process{incarnation: 2}, 0},
 		"before the limit began": {process{incarnation: 2, startedNS: limitedFrom, boot: sameBoot}, 0},
 	} {
@@ -62,7 +62,7 @@
 			l, _ := limitedProcess()
 			before := free(l)
 			granted := c.next.report(l, 2_000, &wire.ShareReport{}).GetGranted()
-			require.Equal(t, before+c.takenOff-granted, free(l))
+			require.Equal(t, before+c.takenBack-granted, free(l))
 		})
 	}
 }
@@ -82,8 +82,8 @@
 // place.
 func TestOlderLimitDoesNotReplaceNewer(t *testing.T) {
 	l, p := limitedProcess()
-	p.report(l, 1_500, &wire.ShareReport{Balance: 60_000, Limit: &wire.UseLimit{Sequence: 2, Tokens: 50_000, FromNs: limitedFrom, UntilNs: limitedAt}})
-	p.report(l, 1_600, &wire.ShareReport{Balance: 60_000, Limit: &wire.UseLimit{Sequence: 1, Tokens: 20_000, FromNs: limitedFrom, UntilNs: limitedAt}})
+	p.report(l, 1_500, &wire.ShareReport{Balance: 60_000, Limit: &wire.UseLimit{Sequence: 2, Tokens: 50_000, FromNs: limitedFrom, UntilNs: limitedUntil}})
+	p.report(l, 1_600, &wire.ShareReport{Balance: 60_000, Limit: &wire.UseLimit{Sequence: 1, Tokens: 20_000, FromNs: limitedFrom, UntilNs: limitedUntil}})
 	before := free(l)
 	granted := process{incarnation: 2, startedNS: 2 * secondNS, boot: sameBoot}.report(l, 2_000, &wire.ShareReport{}).GetGranted()
 	require.Equal(t, before+10_000-granted, free(l))
--- a/ledger/share.go
+++ b/ledger/share.go
@@ -94,10 +94,8 @@
 	a := l.getOrCreateAllowance(r.GetOrganisation())
 	s := a.shares[k]
 	if s == nil {
-		s = &wire.ShareState{
-			Organisation: r.GetOrganisation(), Router: k.router, Incarnation: k.incarnation, Boot: c.GetBoot(), StartedNs: c.GetStartedNs(),
-		}
-		a.endEarlierProcesses(s)
+		s = &wire.ShareState{Organisation: r.GetOrganisation(), Router: k.router, Incarnation: k.incarnation, Boot: c.GetBoot()}
+		a.endEarlierProcesses(k.router, c.GetBoot(), c.GetStartedNs())
 		a.shares[k] = s
 	}
 	if s.GetEnded() {
@@ -117,7 +115,8 @@
 		s.Rate, s.AtMs = 0, 0
 		return &wire.ShareGrant{Organisation: r.GetOrganisation(), Granted: s.GetGranted()}
 	}
-	target := a.target(s, r.GetLargest(), c.GetHorizonMs(), l.nowMS)
+	d := a.division(c.GetHorizonMs(), l.nowMS)
+	target := a.target(s, d, r.GetLargest(), c.GetHorizonMs())
 	tokens := a.tokensToGrant(s, target, r.GetNeed())
 	s.Granted += tokens
 	s.Balance += tokens
@@ -125,54 +124,49 @@
 	return &wire.ShareGrant{
 		Organisation: r.GetOrganisation(), Granted: s.GetGranted(), Recalled: a.outstanding > a.total,
 		Free: max(a.total-a.outstanding, 0), Target: target,
-		Total: a.total, Spent: a.spent(), Held: a.held(c.GetHorizonMs(), l.nowMS),
+		Total: a.total, Spent: d.spent, Held: d.held + tokens,
 	}
 }
 
-// spent returns the number of tokens that all processes have reported as spent.
-func (a *allowance) spent() int64 {
-	sum := int64(0)
-	for _, s := range a.shares {
-		sum += s.GetSpent()
-	}
-	return sum
+// division is what the division of a total is based on, in tokens and tokens per second.
+type division struct {
+	// spent is what all processes have reported as spent. held, rate and routers are the
+	// unspent tokens, the demand and the number of the processes that are counted.
+	spent, held, rate, routers int64
 }
 
-// held returns the number of unspent tokens that the processes counted in the
-// division have reported to hold.
-func (a *allowance) held(horizonMS, nowMS int64) int64 {
-	sum := int64(0)
+// division counts the processes that have reported within silentHorizons.
+func (a *allowance) division(horizonMS, nowMS int64) division {
+	d := division{}
 	for _, s := range a.shares {
-		if isCounted(s, horizonMS, nowMS) {
-			sum += max(s.GetBalance(), 0)
+		d.spent += s.GetSpent()
+		if s.GetAtMs() > 0 && nowMS-s.GetAtMs() <= silentHorizons*horizonMS {
+			d.held += max(s.GetBalance(), 0)
+			d.rate += s.GetRate()
+			d.routers++
 		}
 	}
-	return sum
-}
-
-// isCounted reports whether a process is taken into account when the total is
-// divided.
-func isCounted(s *wire.ShareState, horizonMS, nowMS int64) bool {
-	return s.GetAtMs() > 0 && nowMS-s.GetAtMs() <= silentHorizons*horizonMS
+	return d
 }
 
 // endEarlierProcesses stops counting a router's earlier processes when the total is
-// divided, and takes back what they are known not to have used.
-func (a *allowance) endEarlierProcesses(started *wire.ShareState) {
+// divided, and takes back what they are known not to have used. They had ended when the
+// clock of the given boot of their VM showed a reading.
+func (a *allowance) endEarlierProcesses(router string, boot uint64, readingNS int64) {
 	for _, s := range a.shares {
-		if s.GetRouter() != started.GetRouter() {
+		if s.GetRouter() != router {
 			continue
 		}
 		s.Rate, s.AtMs, s.Balance = 0, 0, 0
-		if started.GetBoot() != 0 && started.GetBoot() == s.GetBoot() {
-			a.takeBack(s, started.GetStartedNs())
+		if boot != 0 && boot == s.GetBoot() {
+			a.takeBack(s, readingNS)
 		}
 	}
 }
 
-// takeBack returns the unused part of the share of an ended process to the budget. The
-// process had ended when its VM's clock showed the given reading. If its last limit had
-// begun and still held then, it used no more tokens than that. What it received and
+// takeBack returns the unused part of the share of an ended process to the budget. If the
+// process's last limit had begun and still held at the reading, it used no more tokens
+// than that. What it received and
 // returned after its last report isn't known, so that too few tokens are taken back
 // rather than too many.
 func (a *allowance) takeBack(s *wire.ShareState, readingNS int64) {
@@ -181,16 +175,16 @@
 		return
 	}
 	s.Ended = true
-	unused := max(s.GetGranted()+s.GetReceived()-s.GetReturned()-LimitAt(l, readingNS), 0)
+	used := AllowedUse(l.GetTokens(), l.GetTokensPerSecond(), time.Duration(readingNS-l.GetFromNs()))
+	unused := max(s.GetGranted()+s.GetReceived()-s.GetReturned()-used, 0)
 	s.Returned += unused
 	a.outstanding -= unused
 }
 
-// LimitAt returns the number of tokens that a limit allows a process to have used at a
-// reading of its VM's boot clock.
-func LimitAt(l *wire.UseLimit, readingNS int64) int64 {
-	elapsed := time.Duration(max(readingNS-l.GetFromNs(), 0))
-	return l.GetTokens() + l.GetTokensPerSecond()*elapsed.Milliseconds()/1000
+// AllowedUse returns the number of tokens that a limit allows a process to have used when
+// a time has elapsed since the limit began.
+func AllowedUse(tokens, tokensPerSecond int64, elapsed time.Duration) int64 {
+	return tokens + tokensPerSecond*max(elapsed.Milliseconds(), 0)/1000
 }
 
 // target returns how many unspent tokens a router should hold. All routers
@@ -201,24 +195,17 @@
 // partition. A lost router therefore holds few tokens, even if an organisation
 // calls only that router. If there are enough tokens, all routers together cover
 // minLargestRequests requests of the largest size seen, however low the demand.
-func (a *allowance) target(s *wire.ShareState, largest, horizonMS, nowMS int64) int64 {
-	unspent, totalRate, routers := max(a.total-a.outstanding, 0), int64(0), int64(0)
-	for _, other := range a.shares {
-		if isCounted(other, horizonMS, nowMS) {
-			unspent += max(other.GetBalance(), 0)
-			totalRate += other.GetRate()
-			routers++
-		}
-	}
-	if totalRate == 0 {
-		return unspent / (max(routers, minRouters) * idleDivisor)
+func (a *allowance) target(s *wire.ShareState, d division, largest, horizonMS int64) int64 {
+	unspent := max(a.total-a.outstanding, 0) + d.held
+	if d.rate == 0 {
+		return unspent / (max(d.routers, minRouters) * idleDivisor)
 	}
 	span := min(ownDemandSpanMS, horizonMS)
 	ownDemand := float64(s.GetRate()) * float64(span) / 1000
-	evenPart := float64(totalRate) * float64(horizonMS-span) / 1000 / float64(routers)
-	demand := float64(totalRate) * float64(horizonMS) / 1000
+	evenPart := float64(d.rate) * float64(horizonMS-span) / 1000 / float64(d.routers)
+	demand := float64(d.rate) * float64(horizonMS) / 1000
 	scale := min(1, float64(unspent)/outstandingDivisor/demand)
-	minShare := min(float64(unspent)/idleDivisor, minLargestRequests*float64(largest)) / float64(routers)
+	minShare := min(float64(unspent)/idleDivisor, minLargestRequests*float64(largest)) / float64(d.routers)
 	return int64(max(scale*(ownDemand+evenPart), minShare))
 }
 
