Shares: what may be borrowed of an idle one follows the requests that others see

Control now keeps the largest request that any router has seen of an organisation and tells it with each grant; a limit leaves room for a request of that size everywhere, so that any router can lend it at once.

--- a/budget/report.go
+++ b/budget/report.go
@@ -105,7 +105,7 @@
 		s := m.share(g.GetOrganisation())
 		s.grant(g.GetGranted())
 		s.free = g.GetFree()
-		s.account = account{total: g.GetTotal(), spent: g.GetSpent(), held: g.GetHeld()}
+		s.account = account{total: g.GetTotal(), spent: g.GetSpent(), held: g.GetHeld(), largestBound: g.GetLargest()}
 		switch {
 		case g.GetRecalled():
 			s.giveBack(s.balance())
--- a/budget/share.go
+++ b/budget/share.go
@@ -59,6 +59,8 @@
 	// spent is what all processes have reported as spent, held what the living ones
 	// hold unspent.
 	spent, held int64
+	// largestBound is the largest bound of a request that any process has seen.
+	largestBound int64
 }
 
 type peerBalance struct {
--- a/budget/use_limit.go
+++ b/budget/use_limit.go
@@ -94,16 +94,18 @@
 	return s.limits[len(s.limits)-1].state(m.boot)
 }
 
-// newLimit returns a limit that allows the demand until control's next answer. Shares that
-// are handed over, and those without demand, which other routers may borrow, aren't limited.
+// newLimit returns a limit that allows a request of the largest size, here or at a router
+// that borrows, and the demand until control's next answer. A share that is handed over
+// isn't limited, nor one of an organisation that has sent no request yet.
 func (m *ShareManager) newLimit(s *share, now time.Time) *useLimit {
-	if m.closing || s.largestBound == 0 {
+	request := max(s.largestBound, s.account.largestBound)
+	if m.closing || request == 0 {
 		return &useLimit{}
 	}
 	// Other routers may borrow the whole share within the horizon.
 	rate := max(s.rate.perSecond(now), float64(s.balance())/m.Horizon.Seconds())
 	return &useLimit{
-		tokens: s.used() + s.waiting + s.largestBound + int64(rate*limitReserve.Seconds()), tokensPerSecond: int64(rate),
+		tokens: s.used() + s.waiting + request + int64(rate*limitReserve.Seconds()), tokensPerSecond: int64(rate),
 		from: now, until: now.Add(m.LimitTime),
 	}
 }
--- a/ledger/share.go
+++ b/ledger/share.go
@@ -107,6 +107,7 @@
 	}
 	s.Spent = max(s.GetSpent(), r.GetSpent())
 	s.Received = max(s.GetReceived(), r.GetReceived())
+	s.Largest = max(s.GetLargest(), r.GetLargest())
 	if r.GetLimit().GetSequence() > s.GetLimit().GetSequence() {
 		s.Limit = r.GetLimit()
 	}
@@ -124,15 +125,16 @@
 	return &wire.ShareGrant{
 		Organisation: r.GetOrganisation(), Granted: s.GetGranted(), Recalled: a.outstanding > a.total,
 		Free: max(a.total-a.outstanding, 0), Target: target,
-		Total: a.total, Spent: d.spent, Held: d.held + tokens,
+		Total: a.total, Spent: d.spent, Held: d.held + tokens, Largest: d.largest,
 	}
 }
 
 // division is what the division of a total is based on, in tokens and tokens per second.
 type division struct {
 	// spent is what all processes have reported as spent. held, rate and routers are the
-	// unspent tokens, the demand and the number of the processes that are counted.
-	spent, held, rate, routers int64
+	// unspent tokens, the demand and the number of the processes that are counted. largest is
+	// the largest bound of a request that any process has reported.
+	spent, held, rate, routers, largest int64
 }
 
 // division counts the processes that have reported within silentHorizons.
@@ -140,6 +142,7 @@
 	d := division{}
 	for _, s := range a.shares {
 		d.spent += s.GetSpent()
+		d.largest = max(d.largest, s.GetLargest())
 		if s.GetAtMs() > 0 && nowMS-s.GetAtMs() <= silentHorizons*horizonMS {
 			d.held += max(s.GetBalance(), 0)
 			d.rate += s.GetRate()
