Shares: no limit where it would allow all of a share

In a fleet of many routers most shares are smaller than a request of the largest size. A limit on such a share can't bind and leaves nothing to take back, but went with every report through the replicated log. Such shares aren't limited now, and a report carries no limit where there was none before.

--- a/budget/use_limit.go
+++ b/budget/use_limit.go
@@ -76,9 +76,9 @@
 	return d
 }
 
-// nextLimit returns the limit to send with a report, or nil if the VM's boot isn't known. A
-// limit binds from the moment it is sent, because its report may be applied even if no
-// answer arrives.
+// nextLimit returns the limit to send with a report, or nil if there is none to set or end,
+// or if the VM's boot isn't known. A limit binds from the moment it is sent, because its
+// report may be applied even if no answer arrives.
 func (m *ShareManager) nextLimit(s *share, now time.Time) *wire.UseLimit {
 	if m.boot.ID == 0 {
 		return nil
@@ -96,21 +96,24 @@
 
 // newLimit returns a limit that allows a request of the largest size, here or at a router
 // that borrows, and the demand until control's next answer. A share that is handed over
-// isn't limited, nor one of an organisation that has sent no request yet.
+// isn't limited, nor one of an organisation that has sent no request yet, nor one so small
+// that the limit would allow all of it.
 func (m *ShareManager) newLimit(s *share, now time.Time) *useLimit {
 	request := max(s.largestBound, s.account.largestBound)
-	if m.closing || request == 0 {
-		return &useLimit{}
-	}
 	// Other routers may borrow the whole share within the horizon.
 	rate := max(s.rate.perSecond(now), float64(s.balance())/m.Horizon.Seconds())
-	return &useLimit{
-		tokens: s.used() + s.waiting + request + int64(rate*limitReserve.Seconds()), tokensPerSecond: int64(rate),
-		from: now, until: now.Add(m.LimitTime),
+	room := s.waiting + request + int64(rate*limitReserve.Seconds())
+	if m.closing || request == 0 || room >= s.balance() {
+		return &useLimit{}
 	}
+	return &useLimit{tokens: s.used() + room, tokensPerSecond: int64(rate), from: now, until: now.Add(m.LimitTime)}
 }
 
+// addLimit adds a limit, unless the use of the share isn't limited already and stays so.
 func (s *share) addLimit(l *useLimit) {
+	if l.until.IsZero() && len(s.limits) == 0 {
+		return
+	}
 	s.limitSequence++
 	l.sequence = s.limitSequence
 	s.limits = append(s.limits, l)
@@ -122,7 +125,10 @@
 	s.limits = slices.DeleteFunc(s.limits, func(l *useLimit) bool { return l.sequence < s.limitSequence && !now.Before(l.until) })
 }
 
-// confirmLimit drops the limits before the one that control has confirmed.
+// confirmLimit drops the limits before the one that control has confirmed, and that one too
+// if it only ended them.
 func (s *share) confirmLimit(sequence int64) {
-	s.limits = slices.DeleteFunc(s.limits, func(l *useLimit) bool { return l.sequence < sequence })
+	s.limits = slices.DeleteFunc(s.limits, func(l *useLimit) bool {
+		return l.sequence < sequence || l.sequence == sequence && l.until.IsZero()
+	})
 }
--- a/budget/use_limit_test.go
+++ b/budget/use_limit_test.go
@@ -67,6 +67,21 @@
 	})
 }
 
+// TestSmallShareHasNoLimit guards against limits that cost messages and can't bind: in a
+// fleet of many routers most shares are smaller than a request.
+func TestSmallShareHasNoLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newLimitedManager(t, newControl(testBudget), 1)
+		s := m.share("fleet")
+		require.NotNil(t, m.nextLimit(s, time.Now()))
+		s.giveBack(s.balance() - 1)
+		m.report(context.Background(), []string{"fleet"})
+		s.giveBack(s.balance() - 1)
+		require.Nil(t, m.nextLimit(s, time.Now()), "control knows that the limit has ended")
+		require.Equal(t, s.balance(), s.available(time.Now()))
+	})
+}
+
 // TestRequestAboveTheLimitAsksControl checks that a request which the share covers but its
 // limit doesn't is covered after one report.
 func TestRequestAboveTheLimitAsksControl(t *testing.T) {
