Shares: limits leave room for a large request only where a share is idle

Cause: a limit left room for a request of the largest size that any router had seen, and was dropped where that is all of a share. With six routers most shares are of about that size, so most were not limited and nothing was taken back. TestKilledRouterLosesLittle failed first: 0 of 15,625 tokens were taken back.

A share from which this router serves requests now allows the demand until the next report, and a larger request waits for one. A share that is only lent keeps the room for a request. A share that is smaller than a request is not limited.

--- a/budget/use_limit.go
+++ b/budget/use_limit.go
@@ -94,16 +94,20 @@
 	return s.limits[len(s.limits)-1].state(m.boot)
 }
 
-// newLimit returns a limit that allows a request of the largest size, here or at a router
-// that borrows, and the demand until control's next answer. A share that is handed over
-// isn't limited, nor one of an organisation that has sent no request yet, nor one so small
-// that the limit would allow all of it.
+// newLimit returns a limit that allows the demand until control's next answer. What it
+// allows beyond that is lost if the process is killed, so that a large request has to wait
+// for a report. A share that has no use but to be lent allows a request of the largest size
+// at once. A share that is handed over isn't limited, nor one of an organisation that has
+// sent no request yet, nor one too small for a request of the largest size.
 func (m *ShareManager) newLimit(s *share, now time.Time) *useLimit {
-	request := max(s.largestBound, s.account.largestBound)
+	largest := max(s.largestBound, s.account.largestBound)
 	// Other routers may borrow the whole share within the horizon.
 	rate := max(s.rate.perSecond(now), float64(s.balance())/m.Horizon.Seconds())
-	room := s.waiting + request + int64(rate*limitReserve.Seconds())
-	if m.closing || request == 0 || room >= s.balance() {
+	room := s.waiting + int64(rate*limitReserve.Seconds())
+	if s.largestBound == 0 {
+		room += largest
+	}
+	if m.closing || largest == 0 || s.balance() <= largest {
 		return &useLimit{}
 	}
 	return &useLimit{tokens: s.used() + room, tokensPerSecond: int64(rate), from: now, until: now.Add(m.LimitTime)}
--- a/budget/use_limit_test.go
+++ b/budget/use_limit_test.go
@@ -167,3 +167,27 @@
 		require.GreaterOrEqual(t, granted, remaining.share("fleet").balance()+next.share("fleet").balance())
 	})
 }
+
+// TestKilledRouterLosesLittle guards against limits that allow much of a share because the
+// requests are large: half of it at least is taken back when the router is killed and back
+// after two seconds.
+func TestKilledRouterLosesLittle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newControl(testBudget)
+		m := newLimitedManager(t, c, 1)
+		request := m.share("fleet").balance() * 9 / 10
+		require.Equal(t, buckthornpin.Covered, reserve(t, m, request))
+		m.Settle("fleet", request, 0)
+		m.report(context.Background(), []string{"fleet"})
+		held := m.share("fleet").balance()
+		time.Sleep(2 * time.Second)
+
+		next := newIdleManager(c, 2)
+		require.Positive(t, next.share("fleet").balance())
+		for _, s := range c.ledger.Shares() {
+			if s.GetIncarnation() == 1 {
+				require.GreaterOrEqual(t, s.GetReturned(), held/2)
+			}
+		}
+	})
+}
--- a/ledger/share.go
+++ b/ledger/share.go
@@ -169,9 +169,8 @@
 
 // takeBack returns the unused part of the share of an ended process to the budget. If the
 // process's last limit had begun and still held at the reading, it used no more tokens
-// than that. What it received and
-// returned after its last report isn't known, so that too few tokens are taken back
-// rather than too many.
+// than that. What it received and returned after its last report isn't known, so that too
+// few tokens are taken back rather than too many.
 func (a *allowance) takeBack(s *wire.ShareState, readingNS int64) {
 	l := s.GetLimit()
 	if s.GetEnded() || readingNS <= l.GetFromNs() || readingNS >= l.GetUntilNs() {
