--- a/ctrl/form.go
+++ b/ctrl/form.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"buckthornpin"
 	"buckthornpin/store"
 	"buckthornpin/wire"
 )
@@ -99,7 +100,7 @@
 // Run checks the membership at intervals until ctx ends.
 func (j *Joiner) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		pause(ctx, joinInterval)
+		buckthornpin.Wait(ctx, joinInterval)
 		s := j.Replica.Status()
 		if s.Leader != "" && j.isVoter(s) {
 			continue
--- a/ctrl/mirror.go
+++ b/ctrl/mirror.go
@@ -55,7 +55,7 @@
 	for ctx.Err() == nil {
 		reply, err := m.Client.Sync(ctx, m.request())
 		if err != nil {
-			pause(ctx, syncRetry)
+			buckthornpin.Wait(ctx, syncRetry)
 			continue
 		}
 		m.apply(reply)
@@ -198,13 +198,3 @@
 	slices.Sort(out)
 	return out
 }
-
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/ctrl/site_mirror.go
+++ b/ctrl/site_mirror.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"buckthornpin"
 	"buckthornpin/site"
 	"buckthornpin/wire"
 )
@@ -41,7 +42,7 @@
 		reply, err := m.sync(ctx)
 		if err != nil {
 			m.setConnected(false)
-			pause(ctx, syncRetry)
+			buckthornpin.Wait(ctx, syncRetry)
 			continue
 		}
 		m.setConnected(true)
--- a/ctrl/transport.go
+++ b/ctrl/transport.go
@@ -8,6 +8,7 @@
 
 	"connectrpc.com/connect"
 
+	"buckthornpin"
 	"buckthornpin/wire"
 )
 
@@ -73,7 +74,7 @@
 	for t.ctx.Err() == nil {
 		t.sendOnStream(c, q)
 		discardQueued(q)
-		pause(t.ctx, reconnectPause)
+		buckthornpin.Wait(t.ctx, reconnectPause)
 	}
 }
 
--- a/stand/network.go
+++ b/stand/network.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"buckthornpin"
 )
 
 // Network is an in-memory network for tests that run on a fake clock (testing/synctest):
@@ -116,16 +118,10 @@
 	return client, sleep(ctx, replyDelay)
 }
 
-// sleep waits for d or until ctx ends.
+// sleep waits for d or until ctx ends, which is an error.
 func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	buckthornpin.Wait(ctx, d)
+	return ctx.Err()
 }
 
 // Listener is a net.Listener of a Network.
