--- a/budget/share.go
+++ b/budget/share.go
@@ -74,7 +74,7 @@
 
 // balance returns the number of tokens that are held and not reserved.
 func (s *share) balance() int64 {
-	return s.granted + s.receivedTotal - s.returned - s.donatedTotal - s.spent - s.reserved
+	return s.granted + s.receivedTotal - s.returned - s.used()
 }
 
 // reserve reserves tokens for a request if that many are available.
