Limits of endpoints: forgotten with their endpoints

Found while reading: a router forgot a limit after five minutes without a request, but not at the same moment as the others, so that one that still had it reported it back, for ever. Engines come and go for years, so the state and the messages grew without end.

The directory already decides how long an endpoint is remembered. Limits are now kept as long as their endpoint is in the directory, and reports about others are ignored; the second retention time and the time of last use are gone. What carries all endpoint states now carries all limits too, and a request to compare digests no longer counts as a send of each change.

TestSweepForgetsLimits is TestRetainForgetsLimits, since the rule is another one: known endpoints keep their limits, all others lose them at once.

--- a/peer/directory.go
+++ b/peer/directory.go
@@ -198,6 +198,13 @@
 	}
 }
 
+// Has reports whether an endpoint is known, be it serving or not.
+func (d *Directory) Has(id string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.entries[id] != nil
+}
+
 // AnnounceAddresses returns the addresses of the routers that take announcements.
 func (d *Directory) AnnounceAddresses() []string { return d.Addresses() }
 
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -65,12 +65,12 @@
 // router. Without updates the other rounds send nothing.
 func (g *Gossip) round(ctx context.Context, now time.Time) {
 	g.Directory.Sweep(now)
-	g.Limits.Sweep(now)
+	g.Limits.Retain(g.Directory.Has)
 	g.rounds++
 	compare := g.rounds%compareRounds == 1
 	peers := slices.Clone(g.Peers())
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	updates, limits := g.Directory.NextUpdates(), limitStates(g.Limits.NextUpdates(g.Directory.RequiredSends()))
+	updates, limits := g.Directory.NextUpdates(), nextLimits(&g.Limits, g.Directory)
 	if len(updates)+len(limits) == 0 && !compare {
 		return
 	}
@@ -97,16 +97,16 @@
 		return
 	}
 	g.Directory.Merge(reply.GetEndpoints())
-	mergeLimits(&g.Limits, reply.GetLimits(), time.Now())
+	mergeLimits(&g.Limits, g.Directory, reply.GetLimits(), time.Now())
 	if reply.GetDiffers() {
-		_, _ = g.client(address).Exchange(ctx, &wire.ExchangeRequest{Endpoints: g.Directory.States()})
+		_, _ = g.client(address).Exchange(ctx, &wire.ExchangeRequest{Endpoints: g.Directory.States(), Limits: limitStates(g.Limits.All())})
 	}
 }
 
 // Exchange implements wire.PeersHandler.
 func (g *Gossip) Exchange(_ context.Context, r *wire.ExchangeRequest) (*wire.ExchangeReply, error) {
 	g.Directory.Merge(r.GetEndpoints())
-	mergeLimits(&g.Limits, r.GetLimits(), time.Now())
+	mergeLimits(&g.Limits, g.Directory, r.GetLimits(), time.Now())
 	if r.GetDigest() == 0 {
 		return &wire.ExchangeReply{}, nil
 	}
--- a/peer/loads.go
+++ b/peer/loads.go
@@ -22,7 +22,8 @@
 func (m *Mesh) Open() { m.loadsChanged = make(chan struct{}, 1) }
 
 // LoadChanged makes RunLoads report the loads of this router and changed limits of
-// endpoints to the other routers at once. Changes during a report are sent together in the next one.
+// endpoints to the other routers at once. Changes during a report are sent together in the
+// next one.
 func (m *Mesh) LoadChanged() {
 	select {
 	case m.loadsChanged <- struct{}{}:
@@ -38,7 +39,7 @@
 			return nil
 		case <-m.loadsChanged:
 		}
-		r := &wire.TellRequest{Vm: m.Nodes.Self.Address, Loads: m.loadStates(), Limits: limitStates(m.Limits.NextUpdates(m.Directory.RequiredSends()))}
+		r := &wire.TellRequest{Vm: m.Nodes.Self.Address, Loads: m.loadStates(), Limits: nextLimits(&m.Limits, m.Directory)}
 		var wg sync.WaitGroup
 		for _, address := range draw(m.Nodes.Routers(time.Now()), fanOut) {
 			wg.Go(func() { m.sendLoads(ctx, address, r) })
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -123,21 +123,20 @@
 	m.Nodes.SetSparesLimits(m.Limits.Spares(now))
 	m.Nodes.StartRound(now)
 	m.Directory.Sweep(now)
-	m.Limits.Sweep(now)
+	m.Limits.Retain(m.Directory.Has)
 	m.expireLoads(now)
 	m.rounds++
 	targets := m.targets(now)
-	request := m.newRequest(m.Directory.NextUpdates())
+	request := m.newRequest(m.Directory.NextUpdates(), nextLimits(&m.Limits, m.Directory))
 	noControlKnown := len(m.Nodes.ControlNodes()) == 0
 	roundTrip := m.startRoundTrip(len(targets) > 0)
 	var wg sync.WaitGroup
 	for i, address := range targets {
 		r := request
 		if noControlKnown || i == 0 && m.rounds%meshCompareRounds == 1 {
-			r = m.newRequest(request.GetEndpoints())
+			r = m.newRequest(request.GetEndpoints(), limitStates(m.Limits.All()))
 			r.Nodes = m.Nodes.States()
 			r.Digest = m.Directory.Digest()
-			r.Limits = limitStates(m.Limits.All())
 		}
 		wg.Go(func() {
 			if m.send(ctx, address, r) {
@@ -214,9 +213,9 @@
 	return out
 }
 
-func (m *Mesh) newRequest(updates []*wire.EndpointState) *wire.TellRequest {
+func (m *Mesh) newRequest(updates []*wire.EndpointState, limits []*wire.LimitState) *wire.TellRequest {
 	r := &wire.TellRequest{
-		Vm: m.Nodes.Self.Address, Nodes: m.Nodes.Sample(nodesPerMessage), Endpoints: updates,
+		Vm: m.Nodes.Self.Address, Nodes: m.Nodes.Sample(nodesPerMessage), Endpoints: updates, Limits: limits,
 	}
 	if m.Budgets != nil {
 		r.Balances = m.Budgets.Balances()
@@ -228,7 +227,6 @@
 	if m.Crashes != nil {
 		r.Crashes = m.Crashes()
 	}
-	r.Limits = limitStates(m.Limits.NextUpdates(m.Directory.RequiredSends()))
 	return r
 }
 
@@ -245,12 +243,12 @@
 	}
 	m.Nodes.Merge(reply.GetNodes(), time.Now())
 	m.Directory.Merge(reply.GetEndpoints())
-	mergeLimits(&m.Limits, reply.GetLimits(), time.Now())
+	mergeLimits(&m.Limits, m.Directory, reply.GetLimits(), time.Now())
 	if m.Site != nil && reply.GetSite() != nil {
 		m.Site.ApplyIfNewer(reply.GetSite())
 	}
 	if reply.GetDiffers() {
-		full := m.newRequest(m.Directory.States())
+		full := m.newRequest(m.Directory.States(), limitStates(m.Limits.All()))
 		full.Nodes = m.Nodes.States()
 		_, _ = m.client(address).Tell(ctx, full)
 	}
@@ -265,7 +263,7 @@
 	if len(updates) == 0 {
 		return
 	}
-	request := m.newRequest(updates)
+	request := m.newRequest(updates, nil)
 	var wg sync.WaitGroup
 	for _, address := range draw(m.Nodes.Living(time.Now()), maxFullMesh) {
 		wg.Go(func() { m.send(ctx, address, request) })
@@ -279,7 +277,7 @@
 	m.Nodes.Merge(r.GetNodes(), now)
 	m.Directory.Merge(r.GetEndpoints())
 	m.recordLoads(r, now)
-	mergeLimits(&m.Limits, r.GetLimits(), now)
+	mergeLimits(&m.Limits, m.Directory, r.GetLimits(), now)
 	for _, c := range r.GetCrashes() {
 		if m.RecordCrash != nil {
 			m.RecordCrash(c)
--- a/route/rate_limit.go
+++ b/route/rate_limit.go
@@ -24,9 +24,6 @@
 	// shareLifetime is how long a router's share is used before it is computed again from
 	// the routers that are living then.
 	shareLifetime = 400 * time.Millisecond
-	// limitRetention is how long the state of an endpoint is kept after the last change or
-	// request.
-	limitRetention = 5 * time.Minute
 	// spareAfter is how long a router has no request for an endpoint with a limit before it
 	// leaves the limits to the others. For as long after the next request, it uses only what
 	// it would get if none did, until they have heard of it.
@@ -90,8 +87,8 @@
 // limitedEndpoint is the limit of one endpoint with this router's share of it.
 type limitedEndpoint struct {
 	limit RateLimit
-	// changedAt is when this router learned of the limit, usedAt when it last needed it.
-	changedAt, usedAt time.Time
+	// changedAt is when this router learned of the limit.
+	changedAt time.Time
 	// sends is how often the limit was sent to other routers.
 	sends int
 	// share is this router's share in requests a second, as of sharedAt.
@@ -159,7 +156,7 @@
 	if l.Limited && r.active.Load() == 0 {
 		r.neededAt, r.neededSince = now, now
 	}
-	next := &limitedEndpoint{limit: l, changedAt: now, usedAt: now, filledAt: now}
+	next := &limitedEndpoint{limit: l, changedAt: now, filledAt: now}
 	if old := r.endpoints[l.Endpoint]; old != nil && old.limit.Limited {
 		next.room, next.filledAt = old.room, old.filledAt
 		r.active.Add(-1)
@@ -204,12 +201,12 @@
 	return out
 }
 
-// Sweep forgets the endpoints that have been neither changed nor used for limitRetention.
-func (r *RateLimits) Sweep(now time.Time) {
+// Retain forgets the limits of all endpoints but the known ones.
+func (r *RateLimits) Retain(known func(endpoint string) bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for id, e := range r.endpoints {
-		if now.Sub(e.usedAt) <= limitRetention {
+		if known(id) {
 			continue
 		}
 		delete(r.endpoints, id)
@@ -277,7 +274,7 @@
 	if now.Sub(r.neededAt) > spareAfter {
 		r.neededSince = now
 	}
-	l.usedAt, r.neededAt = now, now
+	r.neededAt = now
 	if l.sharedAt.IsZero() || now.Sub(l.sharedAt) > shareLifetime {
 		l.share, l.sharedAt = shareOf(l.limit, r.fleet(now)), now
 	}
--- a/route/rate_limit_test.go
+++ b/route/rate_limit_test.go
@@ -201,9 +201,9 @@
 	require.True(t, r.All()[0].Limited, "an earlier incarnation's limit is ignored")
 }
 
-// TestSweepForgetsLimits checks that changes are sent as often as required, and that
-// endpoints without requests are forgotten.
-func TestSweepForgetsLimits(t *testing.T) {
+// TestRetainForgetsLimits checks that changes are sent as often as required, and that
+// only the limits of known endpoints are kept.
+func TestRetainForgetsLimits(t *testing.T) {
 	r, now := &RateLimits{}, time.Unix(1000, 0)
 	e := &buckthornpin.Endpoint{ID: "e", Incarnation: 1}
 	r.Observe(e, buckthornpin.StatedLimit{Stated: true, PerSecond: 0.1}, now, now)
@@ -211,7 +211,9 @@
 	require.Len(t, r.NextUpdates(requiredSends), 1)
 	require.Len(t, r.NextUpdates(requiredSends), 1)
 	require.Empty(t, r.NextUpdates(requiredSends))
-	r.Sweep(now.Add(limitRetention + 1))
+	r.Retain(func(id string) bool { return id == e.ID })
+	require.Len(t, r.All(), 1)
+	r.Retain(func(string) bool { return false })
 	require.Empty(t, r.All())
 	require.True(t, r.Allows(e, now))
 }
