--- a/app/fleet.go
+++ b/app/fleet.go
@@ -241,13 +241,12 @@
 // livingRouterCount returns the number of living routers, including this one.
 func (p *PlatformProcess) livingRouterCount() int { return 1 + p.nodes.LivingRouterCount() }
 
-// fleet returns the living routers, those that leave the limits of endpoints to the others
-// apart.
+// fleet returns the living routers, among which the limits of endpoints are divided.
 func (p *PlatformProcess) fleet(now time.Time) route.Fleet {
 	f := route.Fleet{Self: p.nodes.Self.Address}
 	for _, n := range p.nodes.Routers(now) {
-		if n.SparesLimits {
-			f.Sparing = append(f.Sparing, n.Address)
+		if n.YieldsLimits {
+			f.Yielding = append(f.Yielding, n.Address)
 		} else {
 			f.Others = append(f.Others, n.Address)
 		}
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -120,7 +120,7 @@
 }
 
 func (m *Mesh) round(ctx context.Context, now time.Time) {
-	m.Nodes.SetSparesLimits(m.Limits.Spares(now))
+	m.Nodes.SetYieldsLimits(m.Limits.Yields(now))
 	m.Nodes.StartRound(now)
 	m.Directory.Sweep(now)
 	m.Limits.Retain(m.Directory.Has)
--- a/peer/nodes.go
+++ b/peer/nodes.go
@@ -20,8 +20,8 @@
 	// Heartbeat is the number of rounds that the process has started.
 	Heartbeat int64
 	Stopping  bool
-	// SparesLimits is true if a router leaves the limits of endpoints to the others.
-	SparesLimits bool
+	// YieldsLimits is true if a router yields the limits of endpoints to the others.
+	YieldsLimits bool
 	// HeardAt is the time at which this process last saw Heartbeat rise.
 	HeardAt time.Time
 }
@@ -72,7 +72,7 @@
 	fresh := old == nil || s.GetIncarnation() > old.Incarnation
 	next := &Node{
 		VM: s.GetVm(), Zone: s.GetZone(), Address: s.GetAddress(), Control: s.GetControl(),
-		Incarnation: s.GetIncarnation(), Heartbeat: s.GetBeat(), Stopping: s.GetStopping(), SparesLimits: s.GetSparesLimits(),
+		Incarnation: s.GetIncarnation(), Heartbeat: s.GetBeat(), Stopping: s.GetStopping(), YieldsLimits: s.GetYieldsLimits(),
 		HeardAt: now,
 	}
 	if n.known == nil {
@@ -117,12 +117,12 @@
 	n.Self.Stopping = true
 }
 
-// SetSparesLimits tells the other routers with the next round whether this one leaves the
+// SetYieldsLimits tells the other routers with the next round whether this one yields the
 // limits of endpoints to them.
-func (n *Nodes) SetSparesLimits(spares bool) {
+func (n *Nodes) SetYieldsLimits(yields bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.Self.SparesLimits = spares
+	n.Self.YieldsLimits = yields
 }
 
 // States returns the states of this process and of all known ones, for messages to
@@ -159,7 +159,7 @@
 func nodeState(k *Node) *wire.NodeState {
 	return &wire.NodeState{
 		Vm: k.VM, Zone: k.Zone, Address: k.Address, Control: k.Control,
-		Incarnation: k.Incarnation, Beat: k.Heartbeat, Stopping: k.Stopping, SparesLimits: k.SparesLimits,
+		Incarnation: k.Incarnation, Beat: k.Heartbeat, Stopping: k.Stopping, YieldsLimits: k.YieldsLimits,
 	}
 }
 
--- a/route/rate_limit.go
+++ b/route/rate_limit.go
@@ -24,10 +24,10 @@
 	// shareLifetime is how long a router's share is used before it is computed again from
 	// the routers that are living then.
 	shareLifetime = 400 * time.Millisecond
-	// spareAfter is how long a router has no request for an endpoint with a limit before it
-	// leaves the limits to the others. For as long after the next request, it uses only what
-	// it would get if none did, until they have heard of it.
-	spareAfter = time.Second
+	// yieldAfter is how long a router has no request for an endpoint with a limit before it
+	// yields the limits to the others. For as long after the next request it uses only the
+	// share that it would have if no router yielded, because the others may not know yet.
+	yieldAfter = time.Second
 )
 
 // RateLimit is the limit that an endpoint names in its answers.
@@ -59,9 +59,9 @@
 type Fleet struct {
 	// Self is the address of this router.
 	Self string
-	// Others are the addresses of the other living routers, except for those that leave the
-	// limits to others: Sparing.
-	Others, Sparing []string
+	// Others are the addresses of the other living routers that use limits, Yielding those
+	// of the ones that yield them.
+	Others, Yielding []string
 }
 
 // RateLimits holds the limits of all endpoints and divides them among the routers. Times
@@ -167,12 +167,12 @@
 	}
 }
 
-// Spares reports whether this router leaves the limits to the others, because it has had no
+// Yields reports whether this router yields the limits to the others, because it has had no
 // request for an endpoint with a limit for some time.
-func (r *RateLimits) Spares(now time.Time) bool {
+func (r *RateLimits) Yields(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.active.Load() > 0 && now.Sub(r.neededAt) > spareAfter
+	return r.active.Load() > 0 && now.Sub(r.neededAt) > yieldAfter
 }
 
 // All returns all limits, those that have ended included.
@@ -271,7 +271,7 @@
 // fill adds the requests that this router's share allows since the last call. The caller
 // holds mu.
 func (r *RateLimits) fill(l *limitedEndpoint, now time.Time) {
-	if now.Sub(r.neededAt) > spareAfter {
+	if now.Sub(r.neededAt) > yieldAfter {
 		r.neededSince = now
 	}
 	r.neededAt = now
@@ -288,8 +288,8 @@
 		return Fleet{}
 	}
 	f := r.Fleet(now)
-	if now.Sub(r.neededSince) <= spareAfter {
-		f.Others = append(f.Others, f.Sparing...)
+	if now.Sub(r.neededSince) <= yieldAfter {
+		f.Others = append(f.Others, f.Yielding...)
 	}
 	return f
 }
--- a/route/rate_limit_test.go
+++ b/route/rate_limit_test.go
@@ -17,13 +17,13 @@
 	now     time.Time
 	names   []string
 	routers map[string]*RateLimits
-	// unused are the routers that get no requests, sparing those that the others have
+	// unused are the routers that get no requests, yielding those that the others have
 	// heard to leave the limits to them.
-	unused, sparing map[string]bool
+	unused, yielding map[string]bool
 }
 
 func newLimitFleet(n int) *limitFleet {
-	f := &limitFleet{now: time.Unix(1000, 0), routers: map[string]*RateLimits{}, unused: map[string]bool{}, sparing: map[string]bool{}}
+	f := &limitFleet{now: time.Unix(1000, 0), routers: map[string]*RateLimits{}, unused: map[string]bool{}, yielding: map[string]bool{}}
 	for i := range n {
 		f.start(fmt.Sprint("router-", i))
 	}
@@ -51,8 +51,8 @@
 	for _, n := range f.names {
 		switch {
 		case n == self:
-		case f.sparing[n]:
-			out.Sparing = append(out.Sparing, n)
+		case f.yielding[n]:
+			out.Yielding = append(out.Yielding, n)
 		default:
 			out.Others = append(out.Others, n)
 		}
@@ -82,7 +82,7 @@
 
 func (f *limitFleet) gossip() {
 	for _, from := range f.names {
-		f.sparing[from] = f.routers[from].Spares(f.now)
+		f.yielding[from] = f.routers[from].Yields(f.now)
 		for _, l := range f.routers[from].All() {
 			for _, to := range f.names {
 				f.routers[to].Merge(l, f.now)
