Limits of endpoints: look the routers up once for all endpoints

Each limited endpoint that a request could go to made its router list, sort and hash all living routers anew, every 0.4 s. The list with the hashes of its addresses is now kept for 0.4 s for all endpoints, and only the comparison is left to do for each of them.

The tests of the shares pass unchanged; two routers whose addresses have the same hash would both have a share.

--- a/route/rate_limit.go
+++ b/route/rate_limit.go
@@ -1,7 +1,6 @@
 package route
 
 import (
-	"cmp"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,9 +20,8 @@
 	probesPerSecond = 0.25
 	// burstTime is the time whose share of a limit may be sent at once.
 	burstTime = 500 * time.Millisecond
-	// shareLifetime is how long a router's share is used before it is computed again from
-	// the routers that are living then.
-	shareLifetime = 400 * time.Millisecond
+	// fleetLifetime is how long limits are divided among the same routers.
+	fleetLifetime = 400 * time.Millisecond
 	// yieldAfter is how long a router has no request for an endpoint with a limit before it
 	// yields the limits to the others. For as long after the next request it uses only the
 	// share that it would have if no router yielded, because the others may not know yet.
@@ -82,6 +80,9 @@
 	// neededAt is when a request last had an endpoint with a limit to choose from, or when
 	// the first limit was learned of. neededSince is when such requests began.
 	neededAt, neededSince time.Time
+	// sharers are the routers that limits are divided among, as of sharersAt.
+	sharers   sharers
+	sharersAt time.Time
 }
 
 // limitedEndpoint is the limit of one endpoint with this router's share of it.
@@ -91,7 +92,8 @@
 	changedAt time.Time
 	// sends is how often the limit was sent to other routers.
 	sends int
-	// share is this router's share in requests a second, as of sharedAt.
+	// share is this router's share in requests a second, computed from the sharers as of
+	// sharedAt.
 	share    float64
 	sharedAt time.Time
 	// room is the number of requests that may be sent at filledAt.
@@ -275,45 +277,59 @@
 		r.neededSince = now
 	}
 	r.neededAt = now
-	if l.sharedAt.IsZero() || now.Sub(l.sharedAt) > shareLifetime {
-		l.share, l.sharedAt = shareOf(l.limit, r.fleet(now)), now
+	if r.sharersAt.IsZero() || now.Sub(r.sharersAt) > fleetLifetime {
+		r.sharers, r.sharersAt = r.currentSharers(now), now
+	}
+	if !l.sharedAt.Equal(r.sharersAt) {
+		l.share, l.sharedAt = shareOf(l.limit, r.sharers), r.sharersAt
 	}
 	elapsed := max(now.Sub(l.filledAt).Seconds(), 0)
 	l.filledAt = now
 	l.room = min(l.room+l.share*elapsed, max(1, l.share*burstTime.Seconds()))
 }
 
-func (r *RateLimits) fleet(now time.Time) Fleet {
+// sharers are the routers that limits are divided among, as hashes of their addresses.
+type sharers struct {
+	self   uint64
+	others []uint64
+}
+
+// currentSharers returns the routers that limits are divided among. Routers that yield are
+// among them until the others know that this one doesn't.
+func (r *RateLimits) currentSharers(now time.Time) sharers {
 	if r.Fleet == nil {
-		return Fleet{}
+		return sharers{}
 	}
 	f := r.Fleet(now)
 	if now.Sub(r.neededSince) <= yieldAfter {
 		f.Others = append(f.Others, f.Yielding...)
 	}
-	return f
+	s := sharers{self: xxhash.Sum64String(f.Self), others: make([]uint64, 0, len(f.Others))}
+	for _, router := range f.Others {
+		s.others = append(s.others, xxhash.Sum64String(router))
+	}
+	return s
 }
 
 // shareOf returns a router's share of a limit in requests a second. A small limit is
 // divided among a few routers, which are chosen by rendezvous hashing: all routers that
 // know the same others choose the same ones, without exchanging a message for it, and a
 // router that comes or goes changes few shares.
-func shareOf(l RateLimit, f Fleet) float64 {
+func shareOf(l RateLimit, s sharers) float64 {
 	perSecond := max(l.PerSecond, probesPerSecond)
-	sharers := min(max(int(perSecond/minSharePerSecond), 1), len(f.Others)+1)
-	if sharers <= len(f.Others) && ownRank(l.Endpoint, f) >= sharers {
+	n := min(max(int(perSecond/minSharePerSecond), 1), len(s.others)+1)
+	if n <= len(s.others) && s.ownRank(l.Endpoint) >= n {
 		return 0
 	}
-	return perSecond / float64(sharers)
+	return perSecond / float64(n)
 }
 
 // ownRank returns the number of other routers that come before this one for an endpoint.
-func ownRank(endpoint string, f Fleet) int {
+func (s sharers) ownRank(endpoint string) int {
 	hash := xxhash.Sum64String(endpoint)
-	weight := func(router string) uint64 { return mix(hash ^ xxhash.Sum64String(router)) }
-	own, rank := weight(f.Self), 0
-	for _, router := range f.Others {
-		if c := cmp.Compare(weight(router), own); c > 0 || c == 0 && router > f.Self {
+	own, rank := mix(hash^s.self), 0
+	for _, router := range s.others {
+		if mix(hash^router) > own {
 			rank++
 		}
 	}
--- a/route/rate_limit_test.go
+++ b/route/rate_limit_test.go
@@ -217,3 +217,22 @@
 	require.Empty(t, r.All())
 	require.True(t, r.Allows(e, now))
 }
+
+// BenchmarkLimitedEndpoints measures the limits of one request with 100 endpoints to choose
+// from, all limited, in a fleet of 350 routers with 6.5 requests a second each.
+func BenchmarkLimitedEndpoints(b *testing.B) {
+	f := newLimitFleet(350)
+	r := f.routers["router-0"]
+	var endpoints []*buckthornpin.Endpoint
+	for i := range 100 {
+		e := &buckthornpin.Endpoint{ID: fmt.Sprint("engine-", i), Incarnation: 1}
+		r.Observe(e, buckthornpin.StatedLimit{Stated: true, PerSecond: 5}, f.now, f.now)
+		endpoints = append(endpoints, e)
+	}
+	for b.Loop() {
+		f.now = f.now.Add(154 * time.Millisecond)
+		for _, e := range endpoints {
+			r.Allows(e, f.now)
+		}
+	}
+}
