Shares: log what control takes back of an earlier process, and why not more

A router's first report now brings back what became of the shares of its earlier processes, and the router logs it: held when control heard of it last, taken back, and how far the use is known (limited, unlimited, limit_ended, other_boot). No decision changes.

--- a/budget/report.go
+++ b/budget/report.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"buckthornpin/wire"
@@ -103,6 +104,7 @@
 	m.unansweredSince = time.Time{}
 	for _, g := range grants {
 		s := m.share(g.GetOrganisation())
+		m.logEndedShares(g)
 		s.grant(g.GetGranted())
 		s.free = g.GetFree()
 		s.account = account{total: g.GetTotal(), spent: g.GetSpent(), held: g.GetHeld(), largestBound: g.GetLargest()}
@@ -115,6 +117,16 @@
 	}
 }
 
+// logEndedShares logs what control has taken back of this router's earlier processes.
+func (m *ShareManager) logEndedShares(g *wire.ShareGrant) {
+	for _, e := range g.GetEnded() {
+		reason, _ := strings.CutPrefix(e.GetReason().String(), "END_REASON_")
+		m.Log.Info().Str("organisation", g.GetOrganisation()).Int64("incarnation", e.GetIncarnation()).Int64("held", e.GetHeld()).
+			Int64("taken_back", e.GetTakenBack()).Str("reason", strings.ToLower(reason)).Int64("free", g.GetFree()).Int64("total", g.GetTotal()).
+			Msg("share of an earlier process has ended")
+	}
+}
+
 // rebalance asks another router for a part of its balance before this router's own
 // balance is spent, so that later requests find enough tokens here.
 func (m *ShareManager) rebalance(ctx context.Context) {
--- a/ledger/ended_test.go
+++ b/ledger/ended_test.go
@@ -51,18 +51,23 @@
 	for name, c := range map[string]struct {
 		next      process
 		takenBack int64
+		reason    wire.EndReason
 	}{
-		"while the limit holds":  {process{incarnation: 2, startedNS: limitedUntil - 1, boot: sameBoot}, 40_000},
-		"after the limit":        {process{incarnation: 2, startedNS: limitedUntil, boot: sameBoot}, 0},
-		"after another boot":     {process{incarnation: 2, startedNS: limitedUntil - 1, boot: sameBoot + 1}, 0},
-		"without a clock":        {process{incarnation: 2}, 0},
-		"before the limit began": {process{incarnation: 2, startedNS: limitedFrom, boot: sameBoot}, 0},
+		"while the limit holds":  {process{incarnation: 2, startedNS: limitedUntil - 1, boot: sameBoot}, 40_000, wire.EndReason_END_REASON_LIMITED},
+		"after the limit":        {process{incarnation: 2, startedNS: limitedUntil, boot: sameBoot}, 0, wire.EndReason_END_REASON_LIMIT_ENDED},
+		"after another boot":     {process{incarnation: 2, startedNS: limitedUntil - 1, boot: sameBoot + 1}, 0, wire.EndReason_END_REASON_OTHER_BOOT},
+		"without a clock":        {process{incarnation: 2}, 0, wire.EndReason_END_REASON_OTHER_BOOT},
+		"before the limit began": {process{incarnation: 2, startedNS: limitedFrom, boot: sameBoot}, 0, wire.EndReason_END_REASON_LIMIT_ENDED},
 	} {
 		t.Run(name, func(t *testing.T) {
 			l, _ := limitedProcess()
 			before := free(l)
-			granted := c.next.report(l, 2_000, &wire.ShareReport{}).GetGranted()
-			require.Equal(t, before+c.takenBack-granted, free(l))
+			g := c.next.report(l, 2_000, &wire.ShareReport{})
+			require.Equal(t, before+c.takenBack-g.GetGranted(), free(l))
+			require.Len(t, g.GetEnded(), 1)
+			e := g.GetEnded()[0]
+			require.Equal(t, []int64{1, 60_000, c.takenBack}, []int64{e.GetIncarnation(), e.GetHeld(), e.GetTakenBack()})
+			require.Equal(t, c.reason, e.GetReason())
 		})
 	}
 }
--- a/ledger/share.go
+++ b/ledger/share.go
@@ -93,9 +93,10 @@
 func (l *Ledger) reportShare(k shareKey, r *wire.ShareReport, c *wire.ReportShares) *wire.ShareGrant {
 	a := l.getOrCreateAllowance(r.GetOrganisation())
 	s := a.shares[k]
+	var ended []*wire.EndedShare
 	if s == nil {
 		s = &wire.ShareState{Organisation: r.GetOrganisation(), Router: k.router, Incarnation: k.incarnation, Boot: c.GetBoot()}
-		a.endEarlierProcesses(k.router, c.GetBoot(), c.GetStartedNs())
+		ended = a.endEarlierProcesses(k.router, c.GetBoot(), c.GetStartedNs())
 		a.shares[k] = s
 	}
 	if s.GetEnded() {
@@ -125,7 +126,7 @@
 	return &wire.ShareGrant{
 		Organisation: r.GetOrganisation(), Granted: s.GetGranted(), Recalled: a.outstanding > a.total,
 		Free: max(a.total-a.outstanding, 0), Target: target,
-		Total: a.total, Spent: d.spent, Held: d.held + tokens, Largest: d.largest,
+		Total: a.total, Spent: d.spent, Held: d.held + tokens, Largest: d.largest, Ended: ended,
 	}
 }
 
@@ -154,33 +155,56 @@
 
 // endEarlierProcesses stops counting a router's earlier processes when the total is
 // divided, and takes back what they are known not to have used. They had ended when the
-// clock of the given boot of their VM showed a reading.
-func (a *allowance) endEarlierProcesses(router string, boot uint64, readingNS int64) {
+// clock of the given boot of their VM showed a reading. It returns what became of the shares
+// that held tokens.
+func (a *allowance) endEarlierProcesses(router string, boot uint64, readingNS int64) []*wire.EndedShare {
+	var out []*wire.EndedShare
 	for _, s := range a.shares {
-		if s.GetRouter() != router {
+		if s.GetRouter() != router || s.GetEnded() {
 			continue
 		}
+		held := s.GetBalance()
 		s.Rate, s.AtMs, s.Balance = 0, 0, 0
-		if boot != 0 && boot == s.GetBoot() {
-			a.takeBack(s, readingNS)
+		reason := endReason(s, boot, readingNS)
+		takenBack := int64(0)
+		if reason == wire.EndReason_END_REASON_LIMITED {
+			takenBack = a.takeBack(s, readingNS)
+		}
+		if held > 0 {
+			out = append(out, &wire.EndedShare{Incarnation: s.GetIncarnation(), Held: held, TakenBack: takenBack, Reason: reason})
 		}
 	}
+	slices.SortFunc(out, func(a, b *wire.EndedShare) int { return cmp.Compare(a.GetIncarnation(), b.GetIncarnation()) })
+	return out
 }
 
-// takeBack returns the unused part of the share of an ended process to the budget. If the
-// process's last limit had begun and still held at the reading, it used no more tokens
-// than that. What it received and returned after its last report isn't known, so that too
-// few tokens are taken back rather than too many.
-func (a *allowance) takeBack(s *wire.ShareState, readingNS int64) {
+// endReason returns how far the use of a share is known whose process had ended at a reading.
+func endReason(s *wire.ShareState, boot uint64, readingNS int64) wire.EndReason {
 	l := s.GetLimit()
-	if s.GetEnded() || readingNS <= l.GetFromNs() || readingNS >= l.GetUntilNs() {
-		return
+	switch {
+	case boot == 0 || boot != s.GetBoot():
+		return wire.EndReason_END_REASON_OTHER_BOOT
+	case l.GetUntilNs() == 0:
+		return wire.EndReason_END_REASON_UNLIMITED
+	case readingNS <= l.GetFromNs() || readingNS >= l.GetUntilNs():
+		return wire.EndReason_END_REASON_LIMIT_ENDED
+	default:
+		return wire.EndReason_END_REASON_LIMITED
 	}
+}
+
+// takeBack returns the unused part of the share of an ended process to the budget. The
+// process's last limit had begun and still held at the reading, so that it used no more
+// tokens than that. What it received and returned after its last report isn't known, so that
+// too few tokens are taken back rather than too many.
+func (a *allowance) takeBack(s *wire.ShareState, readingNS int64) int64 {
+	l := s.GetLimit()
 	s.Ended = true
 	used := AllowedUse(l.GetTokens(), l.GetTokensPerSecond(), time.Duration(readingNS-l.GetFromNs()))
 	unused := max(s.GetGranted()+s.GetReceived()-s.GetReturned()-used, 0)
 	s.Returned += unused
 	a.outstanding -= unused
+	return unused
 }
 
 // AllowedUse returns the number of tokens that a limit allows a process to have used when
