--- a/budget/fault_day_model_test.go
+++ b/budget/fault_day_model_test.go
@@ -25,6 +25,7 @@
 	// controlUp is true while control answers the routers that aren't cut off.
 	controlUp     bool
 	organisations []*dayOrganisation
+	sizes         []daySize
 	wg            sync.WaitGroup
 }
 
@@ -55,11 +56,18 @@
 	owed, served bool
 }
 
-// daySizes are the prompt sizes of the kinds of request in tokens, daySizeWeights how
-// many of 100 requests have each.
+// daySize is the prompt size of a kind of request in tokens, and how many of 100 requests
+// have it.
+type daySize struct {
+	tokens int64
+	weight int
+}
+
+// standardSizes are the kinds of request of a usual day. mixedSizes also has a few prompts
+// that are much longer.
 var (
-	daySizes       = []int64{17_000, 9_200, 1_460}
-	daySizeWeights = []int{26, 24, 50}
+	standardSizes = []daySize{{17_000, 26}, {9_200, 24}, {1_460, 50}}
+	mixedSizes    = []daySize{{45_000, 3}, {17_000, 18}, {9_200, 21}, {1_460, 58}}
 )
 
 const (
@@ -74,11 +82,11 @@
 	owedPercent = 97
 )
 
-func newFaultDay(seed uint64, routers, organisations int, requestsPerSecond float64) *faultDay {
-	day := &faultDay{ledger: ledger.Empty(), random: rand.New(rand.NewPCG(seed, 7)), start: time.Now()}
+func newFaultDay(seed uint64, routers, organisations int, requestsPerSecond float64, sizes []daySize) *faultDay {
+	day := &faultDay{ledger: ledger.Empty(), random: rand.New(rand.NewPCG(seed, 7)), start: time.Now(), sizes: sizes}
 	mean := 0.0
-	for i, size := range daySizes {
-		mean += float64(size+dayOutputTokens) * float64(daySizeWeights[i]) / 100
+	for _, size := range sizes {
+		mean += float64(size.tokens+dayOutputTokens) * float64(size.weight) / 100
 	}
 	sum := 0.0
 	for i := range organisations {
@@ -224,18 +232,22 @@
 		if ctx.Err() != nil {
 			return
 		}
-		size, n := daySizes[0], random.IntN(100)
-		for i, w := range daySizeWeights {
-			if n -= w; n < 0 {
-				size = daySizes[i]
-				break
-			}
-		}
+		size := day.drawSize(random)
 		router := day.routers[callers[random.IntN(len(callers))]]
 		day.wg.Go(func() { day.request(o, router, size) })
 	}
 }
 
+func (day *faultDay) drawSize(random *rand.Rand) int64 {
+	n := random.IntN(100)
+	for _, size := range day.sizes {
+		if n -= size.weight; n < 0 {
+			return size.tokens
+		}
+	}
+	return day.sizes[0].tokens
+}
+
 func (day *faultDay) request(o *dayOrganisation, r *dayRouter, size int64) {
 	day.mu.Lock()
 	manager, incarnation := r.manager, r.incarnation
--- a/budget/fault_day_test.go
+++ b/budget/fault_day_test.go
@@ -35,7 +35,7 @@
 	}
 	for seed := range uint64(8) {
 		synctest.Test(t, func(t *testing.T) {
-			day := newFaultDay(seed, routers, organisations, requestsPerSecond)
+			day := newFaultDay(seed, routers, organisations, requestsPerSecond, standardSizes)
 			day.play(t, seed, back+recovery+3*time.Second, events)
 			before, _ := day.share(0, fault)
 			after, owed := day.share(back+recovery, back+recovery+3*time.Second)
@@ -44,3 +44,36 @@
 		})
 	}
 }
+
+// TestBudgetsOutliveTwoKillsOfAllRouters guards against totals that end early because each kill
+// of all routers loses tokens, on a day on which a few requests are much larger than the
+// others. 12 s after the routers are back, a quarter of the requests that the totals cover has
+// to be served.
+func TestBudgetsOutliveTwoKillsOfAllRouters(t *testing.T) {
+	const (
+		routers, organisations = 6, 10
+		requestsPerSecond      = 63
+		firstKill, firstBack   = 32500 * time.Millisecond, 33 * time.Second
+		lastKill, back         = 34 * time.Second, 36 * time.Second
+		recovery               = 12 * time.Second
+		leastServedPercent     = 25
+	)
+	events := []dayEvent{
+		{firstKill, killRouters(routers)},
+		{firstBack, restartRouters(routers)},
+		{lastKill, control(false)},
+		{lastKill, killRouters(routers)},
+		{back, restartRouters(routers)},
+		{back + 500*time.Millisecond, control(true)},
+	}
+	for seed := range uint64(8) {
+		synctest.Test(t, func(t *testing.T) {
+			day := newFaultDay(seed, routers, organisations, requestsPerSecond, mixedSizes)
+			day.play(t, seed, back+recovery+3*time.Second, events)
+			before, _ := day.share(0, firstKill)
+			after, owed := day.share(back+recovery, back+recovery+3*time.Second)
+			require.GreaterOrEqual(t, before, leastServedPercent, "seed %d: served before the fault", seed)
+			require.GreaterOrEqual(t, after, leastServedPercent, "seed %d: served of %d requests owed after the fault", seed, owed)
+		})
+	}
+}
