Shares: limits leave no room for a large request where none has arrived

Cause: the limit of a share for which this process has seen no request left room for a request of the largest size, so that it could be lent at once. After a restart that is every share of every organisation at every router, and the next kill loses all of that room: the largest request times the routers, more than what is left of most totals.

TestIdleShareIsTakenBack failed before: 8,060 tokens lost, bound 5,297.

--- a/budget/fault_day_test.go
+++ b/budget/fault_day_test.go
@@ -77,3 +77,27 @@
 		})
 	}
 }
+
+// TestLimitedSharesAreLentInACut guards against limits that keep the shares of a large fleet
+// from being lent when a cut from control begins: each router's share is smaller than most
+// requests, and its own requests are few. The limits allow the demand of all routers, so that
+// at most one request in ten is refused before they end.
+func TestLimitedSharesAreLentInACut(t *testing.T) {
+	const (
+		routers, organisations = 72, 24
+		requestsPerSecond      = 680
+		cut, limitsEnd         = 8 * time.Second, 12 * time.Second
+		seeds                  = 4
+		leastServedPercent     = 90
+	)
+	sum := 0
+	for seed := range uint64(seeds) {
+		synctest.Test(t, func(t *testing.T) {
+			day := newFaultDay(seed, routers, organisations, requestsPerSecond, standardSizes)
+			day.play(t, seed, limitsEnd, []dayEvent{{cut, cutAll(true)}})
+			served, _ := day.share(cut, limitsEnd)
+			sum += served
+		})
+	}
+	require.GreaterOrEqual(t, sum/seeds, leastServedPercent, "served of 100 requests owed in the cut")
+}
--- a/budget/use_limit.go
+++ b/budget/use_limit.go
@@ -96,20 +96,15 @@
 
 // newLimit returns a limit that allows the demand until control's next answer. What it
 // allows beyond that is lost if the process is killed, so that a large request has to wait
-// for a report. A share for which no request has arrived here can only be lent, so that it
-// allows a request of the largest size at once. A share that is handed over isn't limited,
-// nor one of an organisation that has sent no request to any router.
+// for a report. A share that is handed over isn't limited, nor one of an organisation that
+// has sent no request to any router.
 func (m *ShareManager) newLimit(s *share, now time.Time) *useLimit {
-	largest := max(s.largestBound, s.account.largestBound)
+	if m.closing || max(s.largestBound, s.account.largestBound) == 0 {
+		return &useLimit{}
+	}
 	// Other routers may borrow the whole share within the horizon.
 	rate := max(s.rate.perSecond(now), float64(s.balance())/m.Horizon.Seconds())
 	room := s.waiting + int64(rate*limitReserve.Seconds())
-	if noRequestYet := s.largestBound == 0; noRequestYet {
-		room += largest
-	}
-	if m.closing || largest == 0 {
-		return &useLimit{}
-	}
 	return &useLimit{tokens: s.used() + room, tokensPerSecond: int64(rate), from: now, until: now.Add(m.LimitTime)}
 }
 
