Shares: replace the limits of unused shares before they end

Cause: a share that isn't used was reported every 2 s, with a limit for one contact time (3 s). A kill 1 s or more after the report, with 2 s until the next process reads the clock, found the limit ended, and the whole share was lost.

TestUnusedShareIsTakenBackAfterTwoSeconds failed before for kills 1.5 and 1.9 s after a report: 15,625 of 15,625 tokens lost, bound half. Limits are now replaced at a third of their time.

--- a/budget/report.go
+++ b/budget/report.go
@@ -34,9 +34,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.rounds++
+	now := time.Now()
 	var out []string
 	for name, s := range m.shares {
-		if s.dirty || m.rounds%idleReportRounds == 0 {
+		if s.dirty || m.rounds%idleReportRounds == 0 || m.limitIsOld(s, now) {
 			out = append(out, name)
 		}
 	}
--- a/budget/use_limit.go
+++ b/budget/use_limit.go
@@ -24,6 +24,9 @@
 	// limitReserve is the time for which a limit exceeds the demand that is expected until
 	// the next report.
 	limitReserve = 2 * ReportInterval
+	// maxLimitAgeDivisor divides the time for which a limit holds into the age at which it is
+	// replaced although the share isn't used.
+	maxLimitAgeDivisor = 3
 )
 
 // useLimit bounds the tokens of a share that may have been used, from one time to another.
@@ -94,6 +97,16 @@
 	return s.limits[len(s.limits)-1].state(m.boot)
 }
 
+// limitIsOld reports whether the newest limit of a share should be replaced, so that it still
+// holds for most of LimitTime whenever the process is killed.
+func (m *ShareManager) limitIsOld(s *share, now time.Time) bool {
+	if len(s.limits) == 0 {
+		return false
+	}
+	newest := s.limits[len(s.limits)-1]
+	return !newest.until.IsZero() && now.Sub(newest.from) >= m.LimitTime/maxLimitAgeDivisor
+}
+
 // newLimit returns a limit that allows the demand until control's next answer. What it
 // allows beyond that is lost if the process is killed, so that a large request has to wait
 // for a report. A share that is handed over isn't limited, nor one of an organisation that
--- a/budget/use_limit_test.go
+++ b/budget/use_limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -105,6 +106,31 @@
 	})
 }
 
+// TestUnusedShareIsTakenBackAfterTwoSeconds guards against losing shares that aren't used
+// because their limit has nearly ended when the router is killed: such a share used to be
+// reported every two seconds only, with a limit for three.
+func TestUnusedShareIsTakenBackAfterTwoSeconds(t *testing.T) {
+	const down = 1900 * time.Millisecond
+	for _, age := range []time.Duration{0, 700 * time.Millisecond, 1500 * time.Millisecond, 1900 * time.Millisecond} {
+		t.Run(fmt.Sprint("killed after ", age), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newControl(testBudget)
+				m := newLimitedManager(t, c, 1)
+				m.Open()
+				ctx, kill := context.WithCancel(t.Context())
+				ended := make(chan error, 1)
+				go func() { ended <- m.Run(ctx) }()
+				time.Sleep(10*time.Second + age)
+				kill()
+				require.NoError(t, <-ended)
+				held, lost := lostByKill(c, m, down)
+				require.Positive(t, held)
+				require.LessOrEqual(t, lost, held/2)
+			})
+		})
+	}
+}
+
 // TestRequestAboveTheLimitAsksControl checks that a request which the share covers but its
 // limit doesn't is covered after one report.
 func TestRequestAboveTheLimitAsksControl(t *testing.T) {
