Crashes: a fleet with a part of prompts that crashes engines (red)

Stand-in engines crash when they begin an answer to a prompt with one part, and are back after 0.7 s.

--- a/integ/fleet_caller_test.go
+++ b/integ/fleet_caller_test.go
@@ -49,6 +49,14 @@
 	// runs holds the executions of each request by its id.
 	runs     map[string][]execution
 	attempts []attempt
+	// crashes holds the crashes of endpoints under a part of a prompt, in order.
+	crashes []crash
+}
+
+// crash is an endpoint's crash under a request.
+type crash struct {
+	id string
+	at time.Time
 }
 
 func newObservations() *observations { return &observations{runs: map[string][]execution{}} }
@@ -59,6 +67,12 @@
 	obs.runs[r.id] = append(obs.runs[r.id], r)
 }
 
+func (obs *observations) recordCrash(id string, at time.Time) {
+	obs.mu.Lock()
+	defer obs.mu.Unlock()
+	obs.crashes = append(obs.crashes, crash{id: id, at: at})
+}
+
 func (obs *observations) recordAttempt(a attempt) {
 	obs.mu.Lock()
 	defer obs.mu.Unlock()
@@ -78,6 +92,8 @@
 	http         *http.Client
 	router       *vm
 	meanPause    time.Duration
+	// parts are the shared parts of all prompts; empty for one of a few parts.
+	parts []string
 }
 
 // requestKinds are the names of the routes. Chat and resume are streams, of which resume
@@ -149,7 +165,7 @@
 func (c *fleetCaller) exchange(ctx context.Context, a *attempt) {
 	ctx, cancel := context.WithTimeout(ctx, 6*time.Second)
 	defer cancel()
-	body := strings.Repeat("x", 2000)
+	body := a.id + strings.Repeat("x", 2000)
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.router.settings.Platform.CallerAddress+"/"+a.kind+"/x", bytes.NewReader([]byte(body)))
 	if err != nil {
 		a.detail = err.Error()
@@ -158,9 +174,7 @@
 	r.Host = fleetHost
 	q := relay.Request{ID: a.id, Key: "key-" + c.organisation, Deadline: a.began.Add(4 * time.Second)}
 	if a.kind == "chat" || a.kind == "resume" {
-		q.Prompt = relay.Prompt{Tokens: promptTokens, MaxOutput: outputTokens, Parts: []route.PromptPart{
-			{ID: strconv.Itoa(c.random.IntN(4)), Tokens: 150}, {ID: strconv.FormatUint(c.random.Uint64(), 16), Tokens: 50},
-		}}
+		q.Prompt = relay.Prompt{Tokens: promptTokens, MaxOutput: outputTokens, Parts: c.promptParts()}
 	}
 	platf.EncodeCallerRequest(r.Header, q)
 	res, err := c.http.Do(r)
@@ -181,6 +195,19 @@
 	a.checkAnswer(string(data), answer)
 }
 
+// promptParts returns the parts of a prompt, of which the last belongs to the request alone.
+func (c *fleetCaller) promptParts() []route.PromptPart {
+	shared := c.parts
+	if len(shared) == 0 {
+		shared = []string{strconv.Itoa(c.random.IntN(4))}
+	}
+	var out []route.PromptPart
+	for _, id := range shared {
+		out = append(out, route.PromptPart{ID: id, Tokens: 150 / int64(len(shared))})
+	}
+	return append(out, route.PromptPart{ID: strconv.FormatUint(c.random.Uint64(), 16), Tokens: 50})
+}
+
 // checkAnswer compares an answer with the one that the endpoint gave.
 func (a *attempt) checkAnswer(body string, answer platf.CallerAnswer) {
 	if a.status != http.StatusOK {
--- a/integ/fleet_engine_test.go
+++ b/integ/fleet_engine_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -16,6 +17,7 @@
 
 	"buckthornpin"
 	platf "buckthornpin/platform"
+	"buckthornpin/route"
 )
 
 // endpointStub stands in for an endpoint of the platform. It keeps no state across a crash.
@@ -39,6 +41,9 @@
 	// limit holds the requests a second that the endpoint names in its answers; nil names
 	// none.
 	limit atomic.Pointer[float64]
+	// crashPart is the part of a prompt under which the endpoint crashes when it begins its
+	// answer; nil if there is none.
+	crashPart atomic.Pointer[string]
 	// eventInterval is the time between two events of a stream.
 	eventInterval time.Duration
 }
@@ -72,16 +77,50 @@
 
 // crash closes all connections and the listener.
 func (e *endpointStub) crash() {
+	if s := e.closeAll(); s != nil {
+		s.Close()
+	}
+}
+
+// closeAll closes all connections and the listener, and returns the server, whose handlers
+// may still run. It returns nil if the endpoint is down.
+func (e *endpointStub) closeAll() *httptest.Server {
 	e.mu.Lock()
 	s := e.server
 	e.server = nil
 	e.mu.Unlock()
+	if s != nil {
+		_ = s.Listener.Close()
+		s.CloseClientConnections()
+	}
+	return s
+}
+
+func (e *endpointStub) crashesUnder(q platf.EndpointRequest) bool {
+	bad := e.crashPart.Load()
+	return bad != nil && slices.ContainsFunc(q.PromptParts, func(p route.PromptPart) bool { return p.ID == *bad })
+}
+
+// crashDowntime is the time after which an endpoint that crashed under a prompt is back.
+const crashDowntime = 700 * time.Millisecond
+
+// crashUnder crashes the endpoint under a request and restarts it later.
+func (e *endpointStub) crashUnder(id string) {
+	s := e.closeAll()
 	if s == nil {
 		return
 	}
-	_ = s.Listener.Close()
-	s.CloseClientConnections()
-	s.Close()
+	e.fleet.observed.recordCrash(id, time.Now())
+	e.fleet.startBackground(func(ctx context.Context) {
+		s.Close()
+		timer := time.NewTimer(crashDowntime)
+		defer timer.Stop()
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+			e.restart()
+		}
+	})
 }
 
 // restart starts a new incarnation with the same id at the same address.
@@ -202,6 +241,10 @@
 	after, _ := strconv.Atoi(q.LastEvent)
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
+	if e.crashesUnder(q) {
+		e.crashUnder(q.ID)
+		panic(http.ErrAbortHandler)
+	}
 	tick := time.NewTicker(e.eventInterval)
 	defer tick.Stop()
 	for i := after + 1; i <= eventsPerStream; i++ {
