Crashes: keep parts of prompts that crash engines away from them

Cause: routers only remembered whole requests (path, key, body) that crashed engines. Requests that share one part of their prompts and nothing else are no two alike, so each of them started from nothing. Ruled out: crashes that aren't noticed (a line for each engine, within 10 ms) or not told.

Now the requests whose answer had hardly begun when an engine crashed are its suspects, put together over the routers by engine and incarnation. A complete answer clears its parts, for the version of the endpoint that gave it, and routers tell each other what they have seen answered. A part is quarantined after crashes at three moments, in several requests, without an answer since, if no other part explains them as well. Whole requests go through the same quarantine. Quarantines are reported for as long as they hold, also in replies: a router that starts knew nothing of crashes more than 5 s ago, for whole requests too.

TestRequestThatCrashesEndpoints moves to route with its checks, except that a request was let through again after two minutes: now one at a time is, after the quarantine (TestQuarantineIsTriedAgain).

--- a/app/fleet.go
+++ b/app/fleet.go
@@ -23,7 +23,6 @@
 	"buckthornpin/route"
 	"buckthornpin/site"
 	"buckthornpin/store"
-	"buckthornpin/wire"
 )
 
 const (
@@ -217,7 +216,8 @@
 	}
 	p.router = &relay.Router{
 		Zone: p.Settings.Zone, Site: p.mirror.Table, Directory: p.directory, Endpoints: &platf.Endpoints{Pool: p.pool},
-		Funds: p.shares, Loads: p.mesh, Limits: &p.mesh.Limits, Log: p.Log, Guard: guard,
+		Crashes: relay.CrashTracker{Quarantine: route.Quarantine{Self: platform.MeshAddress()}, Log: p.Log},
+		Funds:   p.shares, Loads: p.mesh, Limits: &p.mesh.Limits, Log: p.Log, Guard: guard,
 		Routers: p.livingRouterCount,
 		Retries: &relay.Retries{
 			Ratio: platform.RetryRatio, Slack: platform.RetrySlack, Window: time.Duration(platform.RetryWindow), Routers: p.livingRouterCount,
@@ -229,8 +229,7 @@
 	p.mesh.Site = p.mirror
 	p.mesh.OwnLoads = p.router.OwnLoads
 	p.mesh.RoundTrips = guard
-	p.mesh.Crashes = p.recentCrashes
-	p.mesh.RecordCrash = p.recordCrash
+	p.mesh.Crashes = &p.router.Crashes
 	p.metrics.Set("router", p.router.Metrics())
 	p.metrics.Set("link", guard.LinkMetrics())
 	p.metrics.Set("caller_connections", p.callerConnections.Metrics())
@@ -261,19 +260,6 @@
 	p.mesh.LoadChanged()
 }
 
-// recentCrashes returns the crashes to report to other routers.
-func (p *PlatformProcess) recentCrashes() []*wire.CrashState {
-	var out []*wire.CrashState
-	for _, c := range p.router.CrashTracker().RecentCrashes(time.Now()) {
-		out = append(out, &wire.CrashState{Request: c.Request, Endpoint: c.Endpoint})
-	}
-	return out
-}
-
-func (p *PlatformProcess) recordCrash(c *wire.CrashState) {
-	p.router.CrashTracker().RecordCrash(relay.Crash{Request: c.GetRequest(), Endpoint: c.GetEndpoint()}, time.Now())
-}
-
 // requestShares requests shares of the prepaid budgets in a configuration.
 func (p *PlatformProcess) requestShares(t *site.Table) {
 	var charged []string
--- a/endpoint.go
+++ b/endpoint.go
@@ -22,6 +22,9 @@
 	// announcement.
 	Incarnation int64
 	Sequence    int64
+	// Version is the version of the endpoint's software and models, as it names them;
+	// empty if it doesn't.
+	Version string
 	// Leaving says that the endpoint takes no new work.
 	Leaving bool
 	// Dead says that a router which received the endpoint's announcements has
@@ -62,7 +65,7 @@
 // aren't compared.
 func (e Endpoint) SameState(other Endpoint) bool {
 	return e.Incarnation == other.Incarnation && e.Leaving == other.Leaving && e.Dead == other.Dead &&
-		e.Address == other.Address && e.Zone == other.Zone && e.Capacity == other.Capacity &&
+		e.Address == other.Address && e.Zone == other.Zone && e.Capacity == other.Capacity && e.Version == other.Version &&
 		slices.Equal(e.Models, other.Models) && slices.Equal(e.Adapters, other.Adapters) && slices.Equal(e.Services, other.Services)
 }
 
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -83,13 +83,11 @@
 	Options   []connect.ClientOption
 	// Seeds returns the addresses that are contacted while no control process is known.
 	Seeds func() []string
-	// Crashes and RecordCrash exchange the endpoints that ended while they ran a
-	// request.
-	Crashes     func() []*wire.CrashState
-	RecordCrash func(c *wire.CrashState)
+	// Crashes holds the crashes of endpoints and what is kept from them because of these.
+	Crashes Crashes
 	// Limits holds the limits that endpoints have named.
 	Limits route.RateLimits
-	// Budgets, Site, OwnLoads, Crashes and RecordCrash are nil in control processes.
+	// Budgets, Site, OwnLoads and Crashes are nil in control processes.
 	Budgets  Budgets
 	Site     Site
 	OwnLoads func() map[string]route.Load
@@ -224,9 +222,7 @@
 		r.SiteVersion, r.WantsSite = m.Site.Version(), true
 	}
 	r.Loads = m.loadStates()
-	if m.Crashes != nil {
-		r.Crashes = m.Crashes()
-	}
+	m.addCrashes(r, time.Now())
 	return r
 }
 
@@ -244,6 +240,7 @@
 	m.Nodes.Merge(reply.GetNodes(), time.Now())
 	m.Directory.Merge(reply.GetEndpoints())
 	mergeLimits(&m.Limits, m.Directory, reply.GetLimits(), time.Now())
+	m.mergeHolds(reply.GetHolds(), nil, time.Now())
 	if m.Site != nil && reply.GetSite() != nil {
 		m.Site.ApplyIfNewer(reply.GetSite())
 	}
@@ -278,15 +275,11 @@
 	m.Directory.Merge(r.GetEndpoints())
 	m.recordLoads(r, now)
 	mergeLimits(&m.Limits, m.Directory, r.GetLimits(), now)
-	for _, c := range r.GetCrashes() {
-		if m.RecordCrash != nil {
-			m.RecordCrash(c)
-		}
-	}
+	m.recordCrashes(r, now)
 	if m.Budgets != nil && len(r.GetBalances()) > 0 {
 		m.Budgets.RecordBalances(r.GetVm(), r.GetBalances())
 	}
-	reply := &wire.TellReply{}
+	reply := &wire.TellReply{Holds: m.holdStates(now)}
 	if m.Site != nil && r.GetWantsSite() {
 		reply.Site = m.Site.NewerThan(r.GetSiteVersion())
 	}
--- a/peer/news.go
+++ b/peer/news.go
@@ -56,7 +56,7 @@
 		d.MergeEndpoint(buckthornpin.Endpoint{
 			ID: s.GetEndpoint(), Address: s.GetAddress(), Zone: s.GetZone(), Models: s.GetModels(), Adapters: s.GetAdapters(), Services: s.GetServices(),
 			Capacity: int(s.GetCapacity()), Incarnation: s.GetIncarnation(), Sequence: s.GetSequence(),
-			Leaving: s.GetLeaving(), Dead: s.GetDead(),
+			Leaving: s.GetLeaving(), Dead: s.GetDead(), Version: s.GetVersion(),
 		})
 	}
 }
@@ -83,6 +83,6 @@
 func endpointState(e buckthornpin.Endpoint) *wire.EndpointState {
 	return &wire.EndpointState{
 		Endpoint: e.ID, Address: e.Address, Zone: e.Zone, Models: e.Models, Adapters: e.Adapters, Services: e.Services,
-		Capacity: int32(e.Capacity), Incarnation: e.Incarnation, Sequence: e.Sequence, Leaving: e.Leaving, Dead: e.Dead,
+		Capacity: int32(e.Capacity), Incarnation: e.Incarnation, Sequence: e.Sequence, Leaving: e.Leaving, Dead: e.Dead, Version: e.Version,
 	}
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -101,7 +102,7 @@
 			f.sentCount = max(f.sentCount, f.route.MaxAttempts)
 		}
 		if ctx.Err() == nil {
-			f.router.crashTracker.CheckEndpoint(f.request, e)
+			f.router.Crashes.CheckEndpoint(e, f.suspect, time.Now())
 		}
 	}
 	f.log("attempt_failed").Str("endpoint", e.ID).Err(err).Msg("attempt got no answer")
@@ -142,7 +143,7 @@
 	}
 	f.firstPartAt = time.Now()
 	onBegin()
-	f.router.tracker.RecordAnswer(e.ID, a.Status, time.Now())
+	f.recordAnswer(e, a)
 	f.reply.Begin(a.Status, a.Header, int64(len(body)))
 	if err := f.reply.Write(body); err != nil {
 		f.finish("caller_gone", e)
@@ -152,6 +153,15 @@
 	return true
 }
 
+// recordAnswer records a complete answer of an endpoint.
+func (f *flight) recordAnswer(e *buckthornpin.Endpoint, a *Answer) {
+	now := time.Now()
+	f.router.tracker.RecordAnswer(e.ID, a.Status, now)
+	if a.Status < http.StatusMultipleChoices {
+		f.router.Crashes.RecordAnswer(e, f.suspect, now)
+	}
+}
+
 // maxPlainBytes is the maximum size of an answer that isn't a stream.
 const maxPlainBytes = 16 << 20
 
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -17,6 +17,8 @@
 	table   *site.Table
 	route   *site.Route
 	service *site.Service
+	// suspect describes the request in case that an endpoint crashes under it.
+	suspect route.Suspect
 	owner   *site.Organisation
 	// deadline is the earlier of the caller's deadline and the route's timeout.
 	deadline time.Time
@@ -88,14 +90,32 @@
 			return false
 		}
 	}
-	if f.router.crashTracker.Quarantined(q, time.Now()) {
-		f.refuse(ReasonQuarantined, crashRetention)
+	f.service = f.table.Service(f.route.PickService(hashFraction(q.ID)))
+	f.suspect = newSuspect(q, f.service.Name)
+	return !f.refuseQuarantined(false)
+}
+
+// refuseQuarantined refuses the request, or a retry of it, if it is in quarantine, and
+// reports whether it did.
+func (f *flight) refuseQuarantined(retry bool) bool {
+	now := time.Now()
+	h, held := f.router.Crashes.Check(f.suspect, retry, now)
+	if !held {
 		return false
 	}
-	f.service = f.table.Service(f.route.PickService(hashFraction(q.ID)))
+	f.log(string(ReasonQuarantined)).Str("subject", subjectName(h.Subject)).Int("crashes", h.Crashes).Int("generation", h.Generation).
+		Dur("remaining_ms", h.Until.Sub(now)).Msg("request is in quarantine")
+	if f.mayHaveRun {
+		f.refuse(ReasonBroken, 0)
+	} else {
+		f.refuse(ReasonQuarantined, max(h.Until.Sub(now), minQuarantineRetry))
+	}
 	return true
 }
 
+// minQuarantineRetry is the shortest Retry-After for a request in quarantine.
+const minQuarantineRetry = time.Minute
+
 // budgetWaitDivisor bounds the wait for budget shares of other routers to the route's
 // objective divided by this number. The answer itself needs the rest of the time.
 const budgetWaitDivisor = 4
@@ -143,6 +163,9 @@
 func (f *flight) attempts(ctx context.Context) {
 	f.tried = map[string]bool{}
 	for {
+		if len(f.tried) > 0 && f.refuseQuarantined(true) {
+			return
+		}
 		c, ok := f.choose()
 		if !ok {
 			f.noEndpoint()
--- a/relay/request.go
+++ b/relay/request.go
@@ -43,6 +43,8 @@
 
 // Prompt is the size of a request for a model, as the request states it.
 type Prompt struct {
+	// Model is the name of the model; "" if the request doesn't say.
+	Model string
 	// Tokens is the length of the prompt, MaxOutput the maximum length of the output, both
 	// in tokens.
 	Tokens, MaxOutput int64
--- a/relay/router.go
+++ b/relay/router.go
@@ -53,12 +53,13 @@
 	Limits *route.RateLimits
 	// Guard is nil if the VM's load isn't monitored.
 	Guard *Guard
-	Log   zerolog.Logger
+	// Crashes keeps requests that crash endpoints from further ones.
+	Crashes CrashTracker
+	Log     zerolog.Logger
 
-	crashTracker CrashTracker
-	tracker      route.Tracker
-	inFlight     atomic.Int64
-	metrics      metrics
+	tracker  route.Tracker
+	inFlight atomic.Int64
+	metrics  metrics
 }
 
 // InProgress returns the number of requests without a final answer.
@@ -67,14 +68,11 @@
 // Metrics returns the router's counters.
 func (r *Router) Metrics() expvar.Var { return r.metrics.variables() }
 
-// CrashTracker returns the tracker of requests that may crash endpoints.
-func (r *Router) CrashTracker() *CrashTracker { return &r.crashTracker }
-
 // Open prepares the router. It must be called before Run and Serve.
-func (r *Router) Open() { r.crashTracker.Open() }
+func (r *Router) Open() { r.Crashes.Open() }
 
 // Run checks until ctx ends whether requests have crashed endpoints.
-func (r *Router) Run(ctx context.Context) error { return r.crashTracker.Run(ctx, r.Endpoints, r.Log) }
+func (r *Router) Run(ctx context.Context) error { return r.Crashes.Run(ctx, r.Endpoints) }
 
 // OwnLoads returns the load from this router by endpoint id.
 func (r *Router) OwnLoads() map[string]route.Load { return r.tracker.Loads() }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -29,9 +29,10 @@
 // breaks off is resumed on another endpoint if the route allows it. Otherwise the caller's
 // connection is closed, so that the caller can tell that the answer is incomplete.
 func (f *flight) stream(ctx context.Context, e *buckthornpin.Endpoint, a *Answer, onBegin func()) bool {
+	before := f.progress.delivered
 	err := f.forwardEvents(a, onBegin)
 	if err == nil {
-		f.router.tracker.RecordAnswer(e.ID, a.Status, time.Now())
+		f.recordAnswer(e, a)
 		f.finish("answered", e)
 		return true
 	}
@@ -44,7 +45,11 @@
 		return true
 	}
 	f.router.tracker.RecordFailure(e.ID, time.Now())
-	f.router.crashTracker.CheckEndpoint(f.request, e)
+	suspect := f.suspect
+	if f.progress.delivered-before >= soundEvents {
+		suspect.Parts = nil
+	}
+	f.router.Crashes.CheckEndpoint(e, suspect, time.Now())
 	if f.route.Resumable && f.sentCount < f.route.MaxAttempts {
 		f.log("resuming").Str("endpoint", e.ID).Str("last_event", f.progress.lastID).Err(err).Msg("stream broke off")
 		return false
--- /dev/null
+++ b/route/quarantine.go
@@ -0,0 +1,405 @@
+package route
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// A request that crashes each endpoint which runs it must not reach all of them. The cause
+// may be the request as a whole or a part of its prompt. A part is held responsible if it
+// was among the suspects of several crashes, at different moments and in different requests,
+// and no answer with it was completed since the first of them. Parts that sound requests
+// share are answered all the time, so that what remains is the part that is to blame.
+
+const (
+	// requestCrashes is the number of endpoints that have to crash under a request before
+	// it is quarantined.
+	requestCrashes = 3
+	// partCrashes is the number of moments at which endpoints have to crash under a part.
+	partCrashes = 3
+	// inseparableCrashes is the number of moments after which parts that only occur
+	// together are quarantined together.
+	inseparableCrashes = 5
+	// momentGap separates two moments: a fault of a rack or a zone ends many endpoints at
+	// once.
+	momentGap = 100 * time.Millisecond
+	// minQuarantine is the length of a subject's first quarantine; it doubles with each
+	// further one, up to maxQuarantine.
+	minQuarantine = 10 * time.Minute
+	maxQuarantine = 8 * time.Hour
+	// trialTime is how long a request that is let through on trial may take until the next
+	// one is.
+	trialTime = 10 * time.Second
+	// maxQuarantined bounds the quarantined subjects.
+	maxQuarantined = 64
+)
+
+// Hold is the quarantine of a subject.
+type Hold struct {
+	Subject Subject
+	// Version is the version of the endpoint that crashed last.
+	Version string
+	// Crashes is the number of crashes on which the quarantine is based, 0 if another router
+	// has decided on it.
+	Crashes int
+	// Generation counts the quarantines of the subject.
+	Generation int
+	Until      time.Time
+}
+
+// Clearance says that an answer with a suspected part was completed.
+type Clearance struct {
+	Subject    Subject
+	Version    string
+	AnsweredAt time.Time
+}
+
+// hold is a quarantine and what follows it: until it is forgotten, one request at a time is
+// let through on trial, and a single crash renews the quarantine.
+type hold struct {
+	Hold
+	// trialsFrom is when this router lets a request through. Routers begin at different
+	// times, so that the first one can tell the others how its trial ended.
+	trialsFrom time.Time
+	forgetAt   time.Time
+	trialUntil time.Time
+}
+
+// clearance is a clearance with the time until which it is reported to other routers.
+type clearance struct {
+	Clearance
+	reportUntil time.Time
+}
+
+// Quarantine keeps requests and parts of prompts that crash endpoints from further ones. It
+// is safe for concurrent use, and its zero value is ready to use.
+type Quarantine struct {
+	// Self names this router. It spreads the trials of the routers over time.
+	Self string
+
+	mu       sync.Mutex
+	crashes  crashLog
+	answered answeredParts
+	holds    map[Subject]*hold
+	cleared  map[Subject]clearance
+}
+
+// RecordCrash records a crash, seen here or reported by another router. It returns the
+// quarantines that begin with it, and whether it was news.
+func (q *Quarantine) RecordCrash(c Crash, now time.Time) (begun []Hold, isNew bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	record, added := q.crashes.add(c, now)
+	open := evidence{}
+	for _, s := range record.Suspects {
+		for _, p := range s.Parts {
+			if _, ok := open[p]; !ok {
+				open[p] = q.unanswered(p)
+			}
+		}
+	}
+	for _, s := range added {
+		begun = q.judgeRequest(begun, s.Request, now)
+		for _, p := range s.Parts {
+			q.reportAnswered(record, p, now)
+			begun = q.judgePart(begun, p, open, now)
+		}
+	}
+	return begun, len(added) > 0
+}
+
+// RecordAnswer records that an answer to a request with the given parts was completed. It
+// returns the parts whose quarantine ends with it.
+func (q *Quarantine) RecordAnswer(version string, parts []Subject, now time.Time) []Subject {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var released []Subject
+	for _, p := range parts {
+		if q.clear(Clearance{Subject: p, Version: version, AnsweredAt: now}, now) {
+			released = append(released, p)
+		}
+	}
+	return released
+}
+
+// Merge merges what another router has reported. It returns the quarantines that begin or
+// end with it.
+func (q *Quarantine) Merge(holds []Hold, clearances []Clearance, now time.Time) (begun []Hold, released []Subject) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, c := range clearances {
+		if q.clear(c, now) {
+			released = append(released, c.Subject)
+		}
+	}
+	for _, h := range holds {
+		old := q.holds[h.Subject]
+		if old != nil && old.Generation >= h.Generation || !now.Before(h.Until) {
+			continue
+		}
+		h.Crashes = 0
+		begun = q.begin(begun, h, now)
+	}
+	return begun, released
+}
+
+// Check returns the quarantine that keeps a request from being sent to an endpoint, if any.
+// A retry is never let through on trial.
+func (q *Quarantine) Check(s Suspect, retry bool, now time.Time) (Hold, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.holds) == 0 {
+		return Hold{}, false
+	}
+	q.forget(now)
+	var trials []*hold
+	for _, subject := range append([]Subject{s.Request}, s.Parts...) {
+		h := q.holds[subject]
+		if h == nil {
+			continue
+		}
+		if retry || now.Before(h.trialsFrom) || now.Before(h.trialUntil) {
+			return h.Hold, true
+		}
+		trials = append(trials, h)
+	}
+	for _, h := range trials {
+		h.trialUntil = now.Add(trialTime)
+	}
+	return Hold{}, false
+}
+
+// Reports returns what to report to another router in one message.
+func (q *Quarantine) Reports(now time.Time) ([]Crash, []Clearance) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var clearances []Clearance
+	for p, c := range q.cleared {
+		if now.After(c.reportUntil) {
+			delete(q.cleared, p)
+		} else if len(clearances) < maxReported {
+			clearances = append(clearances, c.Clearance)
+		}
+	}
+	return q.crashes.nextReports(now), clearances
+}
+
+// Holds returns the quarantines in force.
+func (q *Quarantine) Holds(now time.Time) []Hold {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var out []Hold
+	for _, h := range q.holds {
+		if now.Before(h.Until) {
+			out = append(out, h.Hold)
+		}
+	}
+	return out
+}
+
+// Answered reports whether an answer with a part has been completed since a time.
+func (q *Quarantine) Answered(version string, part Subject, since time.Time) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.answered.last(version, part).After(since)
+}
+
+// clear records an answer. It is passed on to other routers if it clears a suspect. clear
+// reports whether it ends a quarantine.
+func (q *Quarantine) clear(c Clearance, now time.Time) bool {
+	before := q.answered.last(c.Version, c.Subject)
+	q.answered.add(c.Version, c.Subject, c.AnsweredAt, now)
+	if slices.ContainsFunc(q.crashes.bySubject[c.Subject], func(r *crashRecord) bool {
+		return r.Version == c.Version && r.At.After(before) && c.AnsweredAt.After(r.At)
+	}) {
+		q.report(c, now)
+	}
+	h := q.holds[c.Subject]
+	if h == nil || h.Version != c.Version {
+		return false
+	}
+	delete(q.holds, c.Subject)
+	return true
+}
+
+// reportAnswered tells the other routers if an answer with a suspect was completed here
+// after the crash.
+func (q *Quarantine) reportAnswered(r *crashRecord, part Subject, now time.Time) {
+	if at := q.answered.last(r.Version, part); at.After(r.At) {
+		q.report(Clearance{Subject: part, Version: r.Version, AnsweredAt: at}, now)
+	}
+}
+
+func (q *Quarantine) report(c Clearance, now time.Time) {
+	if q.cleared == nil {
+		q.cleared = map[Subject]clearance{}
+	}
+	if len(q.cleared) < maxSuspects {
+		q.cleared[c.Subject] = clearance{Clearance: c, reportUntil: now.Add(crashReportTime)}
+	}
+}
+
+// judgeRequest quarantines a request under which enough endpoints have crashed.
+func (q *Quarantine) judgeRequest(begun []Hold, request Subject, now time.Time) []Hold {
+	records := q.crashes.with(request)
+	if len(records) < requestCrashes && !q.onTrial(request, now) {
+		return begun
+	}
+	return q.begin(begun, q.nextHold(request, records, now), now)
+}
+
+// evidence holds the crashes under parts of prompts since the last answer with the part, for
+// the suspects of one crash.
+type evidence map[Subject]openCrashes
+
+// openCrashes are crashes in order of time that no answer has explained.
+type openCrashes struct {
+	records []*crashRecord
+	moments int
+	// version is the version of the endpoint that crashed last.
+	version string
+	// known reports whether an answer with the part was ever completed by that version.
+	known bool
+}
+
+// unanswered returns the crashes under a part since the last answer with it.
+func (q *Quarantine) unanswered(part Subject) openCrashes {
+	o := openCrashes{}
+	o.records = slices.DeleteFunc(q.crashes.with(part), func(r *crashRecord) bool {
+		return q.answered.last(r.Version, part).After(r.At)
+	})
+	o.moments = moments(o.records)
+	if o.moments > 0 {
+		o.version = o.records[len(o.records)-1].Version
+		o.known = !q.answered.last(o.version, part).IsZero()
+	}
+	return o
+}
+
+// judgePart quarantines a part if it is the one that the crashes have in common.
+func (q *Quarantine) judgePart(begun []Hold, part Subject, open evidence, now time.Time) []Hold {
+	if open[part].moments == 0 || !q.onTrial(part, now) && !open.blames(part) {
+		return begun
+	}
+	return q.begin(begun, q.nextHold(part, open[part].records, now), now)
+}
+
+// blames reports whether a part explains the crashes better than all other parts.
+func (e evidence) blames(part Subject) bool {
+	own := e[part]
+	if own.moments < partCrashes || !severalRequests(own.records, part) {
+		return false
+	}
+	for rival, other := range e {
+		switch {
+		case rival == part || other.moments < own.moments:
+		case other.known && !own.known:
+		case own.moments >= inseparableCrashes && own.known == other.known && onlyTogether(other.records, rival, part):
+		default:
+			return false
+		}
+	}
+	return true
+}
+
+// moments counts the moments of crashes that are in order of time.
+func moments(records []*crashRecord) int {
+	n := 0
+	var last time.Time
+	for _, r := range records {
+		if n == 0 || r.At.Sub(last) >= momentGap {
+			n++
+			last = r.At
+		}
+	}
+	return n
+}
+
+// severalRequests reports whether a part is a suspect in different requests.
+func severalRequests(records []*crashRecord, part Subject) bool {
+	first, found := Subject(0), false
+	for _, r := range records {
+		for _, s := range r.Suspects {
+			switch {
+			case !slices.Contains(s.Parts, part):
+			case !found:
+				first, found = s.Request, true
+			case s.Request != first:
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// onlyTogether reports whether a part is a suspect only in requests that have another part
+// too.
+func onlyTogether(records []*crashRecord, part, other Subject) bool {
+	for _, r := range records {
+		for _, s := range r.Suspects {
+			if slices.Contains(s.Parts, part) && !slices.Contains(s.Parts, other) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// onTrial reports whether a subject's quarantine has ended and isn't forgotten.
+func (q *Quarantine) onTrial(s Subject, now time.Time) bool {
+	h := q.holds[s]
+	return h != nil && !now.Before(h.Until)
+}
+
+// nextHold returns a subject's next quarantine.
+func (q *Quarantine) nextHold(s Subject, records []*crashRecord, now time.Time) Hold {
+	next := Hold{Subject: s, Crashes: len(records), Generation: 1}
+	if len(records) > 0 {
+		next.Version = records[len(records)-1].Version
+	}
+	if h := q.holds[s]; h != nil {
+		next.Generation = h.Generation
+		if !now.Before(h.Until) {
+			next.Generation++
+		}
+	}
+	next.Until = now.Add(quarantineTime(next.Generation))
+	return next
+}
+
+func quarantineTime(generation int) time.Duration {
+	return min(minQuarantine<<min(max(generation-1, 0), 10), maxQuarantine)
+}
+
+// begin begins a quarantine, unless one of the same generation is in force.
+func (q *Quarantine) begin(begun []Hold, next Hold, now time.Time) []Hold {
+	q.forget(now)
+	if h := q.holds[next.Subject]; h != nil && h.Generation >= next.Generation {
+		return begun
+	}
+	if q.holds == nil {
+		q.holds = map[Subject]*hold{}
+	}
+	if q.holds[next.Subject] == nil && len(q.holds) >= maxQuarantined {
+		return begun
+	}
+	span := quarantineTime(next.Generation)
+	q.holds[next.Subject] = &hold{
+		Hold: next, trialsFrom: next.Until.Add(time.Duration(float64(span) * q.fraction(next.Subject))), forgetAt: next.Until.Add(2 * span),
+	}
+	return append(begun, next)
+}
+
+func (q *Quarantine) forget(now time.Time) {
+	maps.DeleteFunc(q.holds, func(_ Subject, h *hold) bool { return now.After(h.forgetAt) })
+}
+
+// fraction returns a number from 0 (inclusive) to 1 (exclusive) that differs between the
+// routers.
+func (q *Quarantine) fraction(s Subject) float64 {
+	return float64(mix(xxhash.Sum64String(q.Self)^uint64(s))>>11) / (1 << 53)
+}
