Endpoints: a later announcement that another process heard doesn't undo that one leaves

Cause: when reports of other processes are merged, one with a higher sequence replaced the whole state. An endpoint that had answered this router that it leaves was used again once a process reported an announcement from before; Put kept the mark, MergeEndpoint didn't.

Only a new incarnation ends it.

--- a/peer/directory.go
+++ b/peer/directory.go
@@ -86,8 +86,10 @@
 	if !e.Supersedes(old.endpoint) {
 		return
 	}
-	e.SeenAt = old.endpoint.SeenAt
-	if e.Incarnation != old.endpoint.Incarnation {
+	if e.Incarnation == old.endpoint.Incarnation {
+		e.SeenAt = old.endpoint.SeenAt
+		e.Leaving = e.Leaving || old.endpoint.Leaving
+	} else {
 		e.SeenAt = time.Time{}
 	}
 	if d.refutes(old, e) {
--- a/peer/directory_test.go
+++ b/peer/directory_test.go
@@ -42,6 +42,21 @@
 		{"leaving", func(d *Directory) { d.Put(newEngine(2).WithLeaving()) }, true, false},
 		{"a heartbeat that arrives after leaving", func(d *Directory) { d.Put(newEngine(3).WithLeaving()); d.Put(newEngine(2)) }, true, false},
 		{"leaving lasts for the incarnation", func(d *Directory) { d.Put(newEngine(2).WithLeaving()); d.Put(newEngine(3)) }, true, false},
+		{"an answer that says it is leaving", func(d *Directory) { d.MarkLeaving("engine", 1) }, true, false},
+		{"a later announcement that another process heard before it left", func(d *Directory) {
+			d.MarkLeaving("engine", 1)
+			d.MergeEndpoint(newEngine(7))
+		}, true, false},
+		{"a report that it is dead doesn't end that it leaves", func(d *Directory) {
+			d.MarkLeaving("engine", 1)
+			d.MergeEndpoint(newEngine(7).WithDead(true))
+		}, true, true},
+		{"a reported new incarnation is living again", func(d *Directory) {
+			d.MarkLeaving("engine", 1)
+			next := newEngine(1)
+			next.Incarnation = 2
+			d.MergeEndpoint(next)
+		}, false, false},
 		{"a new incarnation is living again", func(d *Directory) {
 			d.Put(newEngine(9).WithLeaving())
 			next := newEngine(1)
