Endpoints: any answer that says its endpoint leaves marks it as leaving

An endpoint that says it leaves in its answers, while its announcement is late or the routers are cut off from control, went on getting requests.

The mark is set when the answer's head is read, before it is passed on or retried, also for declined, unsigned and late answers on the connection. It is the directory's own mark, so that the one choice of an endpoint heeds it and it reaches the other routers as announcements do.

--- a/integ/fleet_engine_test.go
+++ b/integ/fleet_engine_test.go
@@ -41,6 +41,8 @@
 	// limit holds the requests a second that the endpoint names in its answers; nil names
 	// none.
 	limit atomic.Pointer[float64]
+	// saysLeaving makes all answers say that the endpoint is leaving.
+	saysLeaving atomic.Bool
 	// crashPart is the part of a prompt under which the endpoint crashes when it begins its
 	// answer; nil if there is none.
 	crashPart atomic.Pointer[string]
@@ -212,6 +214,9 @@
 	defer e.running.Add(-1)
 	e.fleet.observed.recordExecution(execution{id: q.ID, endpoint: e, organisation: q.Organisation, at: time.Now(), key: q.Key})
 	platf.EncodeEndpointAnswer(w.Header(), q.ID, signature(q.ID), false)
+	if e.saysLeaving.Load() {
+		platf.EncodeLeaving(w.Header())
+	}
 	if l := e.limit.Load(); l != nil {
 		platf.EncodeRateLimit(w.Header(), *l)
 	}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -42,7 +42,7 @@
 	defer func() { _ = a.Body.Close() }()
 	f.observeLimit(e, a)
 	f.sentCount++
-	if a.Misdirected {
+	if a.Misdirected || a.Leaving {
 		f.router.Directory.MarkLeaving(e.ID, e.Incarnation)
 	}
 	if a.NotRun || a.Misdirected {
--- a/relay/flight_test.go
+++ b/relay/flight_test.go
@@ -53,6 +53,8 @@
 	body    strings.Builder
 	refusal Refusal
 	broken  bool
+	// leaving are the endpoints that were marked as leaving.
+	leaving []string
 }
 
 func (r *callerRecorder) Refuse(f Refusal)                                     { r.refusal = f }
@@ -61,7 +63,7 @@
 func (r *callerRecorder) Abort()                                               { r.broken = true }
 func (r *callerRecorder) Others(string) route.Load                             { return route.Load{} }
 func (r *callerRecorder) LoadChanged()                                         {}
-func (r *callerRecorder) MarkLeaving(string, int64)                            {}
+func (r *callerRecorder) MarkLeaving(id string, _ int64)                       { r.leaving = append(r.leaving, id) }
 func (r *callerRecorder) Serving(buckthornpin.Target) []*buckthornpin.Endpoint { return endpoints }
 
 var endpoints = []*buckthornpin.Endpoint{{ID: "e1", Capacity: 8}, {ID: "e2", Capacity: 8}, {ID: "e3", Capacity: 8}}
@@ -232,6 +234,27 @@
 	})
 }
 
+// TestAnswerOfALeavingEndpoint guards against requests that go on to an endpoint although its
+// answers say that it is leaving: any answer marks it, whether it is passed on, declines the
+// request or is a server error.
+func TestAnswerOfALeavingEndpoint(t *testing.T) {
+	leaving := func(a *Answer) *Answer {
+		a.Leaving = true
+		return a
+	}
+	for name, first := range map[string]*Answer{"passed on": plain(200, "ok"), "declined": notRun(), "server error": plain(500, "no"), "unsigned": unsigned()} {
+		t.Run(name, func(t *testing.T) {
+			steps := []step{{answer: leaving(first)}}
+			if name != "passed on" {
+				steps = append(steps, step{answer: plain(200, "ok")})
+			}
+			reply, s, _ := serve(t, "/safe/x", steps...)
+			require.Equal(t, []string{s.sent[0].Endpoint.ID}, reply.leaving)
+			require.Equal(t, "ok", reply.body.String())
+		})
+	}
+}
+
 // TestSilentEndpointsAreTheLastResort checks that an endpoint which control considers
 // dead is tried after all others, but is tried: control may have lost contact with
 // endpoints that routers still reach.
--- a/relay/request.go
+++ b/relay/request.go
@@ -76,6 +76,8 @@
 	NotRun bool
 	// Misdirected is set if another endpoint now has the address.
 	Misdirected bool
+	// Leaving is set if the endpoint says that it is leaving. The answer itself counts.
+	Leaving bool
 	// Signed is set if the answer has an endpoint's signature.
 	Signed bool
 	Limit  buckthornpin.StatedLimit
