Connections: bound the head of an answer

64 KB are read of a head, together with interim answers before it, then the exchange fails and its connection is closed. Chunk sizes, extensions, trailers and tiny chunks with long extensions were bounded already.

--- a/conn/exchange.go
+++ b/conn/exchange.go
@@ -23,6 +23,9 @@
 	// DefaultIdleTimeout is how long an idle connection is kept if the other side
 	// states no idle timeout.
 	DefaultIdleTimeout = 4 * time.Second
+	// maxHeadBytes bounds the status line and the headers of an answer, together with the
+	// interim answers before it.
+	maxHeadBytes = 64 << 10
 	// idleMargin is subtracted from the idle timeout that the other side states.
 	idleMargin = 500 * time.Millisecond
 )
@@ -33,9 +36,11 @@
 // Connection is a pooled connection that carries one exchange at a time.
 type Connection struct {
 	net.Conn
-	pool      *Pool
-	address   string
-	reader    *bufio.Reader
+	pool    *Pool
+	address string
+	reader  *bufio.Reader
+	// head bounds what is read of an answer's head.
+	head      *headReader
 	idleUntil time.Time
 	broken    bool
 	// stopAfterFunc is the stop function that context.AfterFunc returned.
@@ -73,6 +78,13 @@
 	if err := c.write(head, body); err != nil {
 		return nil, err
 	}
+	return c.readResponse(method)
+}
+
+// readResponse reads the head of the next answer that isn't an interim one.
+func (c *Connection) readResponse(method string) (*Response, error) {
+	c.head.begin()
+	defer c.head.end()
 	request := &http.Request{Method: method}
 	for {
 		r, err := http.ReadResponse(c.reader, request) //nolint:bodyclose // pooledBody closes it.
@@ -88,6 +100,34 @@
 	}
 }
 
+// errHeadTooLong is returned if the head of an answer exceeds maxHeadBytes.
+var errHeadTooLong = errors.New("head of the answer is too long")
+
+// headReader reads a connection. It fails while a head is read and more than maxHeadBytes
+// have been read of it.
+type headReader struct {
+	io.Reader
+	inHead bool
+	left   int
+}
+
+func (r *headReader) begin() { r.inHead, r.left = true, maxHeadBytes }
+
+func (r *headReader) end() { r.inHead = false }
+
+// Read implements io.Reader.
+func (r *headReader) Read(p []byte) (int, error) {
+	if !r.inHead {
+		return r.Reader.Read(p)
+	}
+	if r.left <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := r.Reader.Read(p[:min(len(p), r.left)])
+	r.left -= n
+	return n, err
+}
+
 // write writes a small request before it returns. It writes a large one in a goroutine,
 // so that the answer can be read at the same time.
 func (c *Connection) write(head, body []byte) error {
@@ -115,13 +155,7 @@
 	if _, err := io.Copy(io.Discard, r.Response.Body.(*pooledBody).body); err != nil {
 		return nil, errors.Wrap(err, "discard earlier answer")
 	}
-	next, err := http.ReadResponse(r.connection.reader, &http.Request{Method: method}) //nolint:bodyclose // pooledBody closes it.
-	if err != nil {
-		return nil, errors.Wrap(err, "read answer")
-	}
-	out := &Response{Response: next, connection: r.connection}
-	next.Body = &pooledBody{body: next.Body, response: out}
-	return out, nil
+	return r.connection.readResponse(method)
 }
 
 // pooledBody returns the connection to the pool on Close if the body was read to its
--- a/conn/pool.go
+++ b/conn/pool.go
@@ -106,7 +106,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Connection{Conn: c, pool: p, address: address, reader: bufio.NewReaderSize(p.trafficReader(c), readBufferBytes)}, nil
+	head := &headReader{Reader: p.trafficReader(c)}
+	return &Connection{Conn: c, pool: p, address: address, reader: bufio.NewReaderSize(head, readBufferBytes), head: head}, nil
 }
 
 func (p *Pool) open(ctx context.Context, address string) (net.Conn, error) {
