Answers: one above the size limit is not a complete one; bound all buffers

Cause: a plain answer was read through a limit of 16 MB that ends like the answer, so that an endless body reached the caller as a complete answer of 16 MB; and each request could take that much memory, so that a few of them exceed a router's.

An answer above the limit now fails like one that breaks off, and all answers that are being read take 32 MB at most; the next one that doesn't fit fails. Honest answers up to 16 MB pass whole as before.

TestEndlessBody failed before: the endless answer was delivered and no other endpoint was tried. TestLargeAnswerPasses, TestManyEndlessBodies.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -132,7 +131,9 @@
 		f.breakOff("not_resumed", e, errors.Errorf("endpoint answered %d where a stream should go on", a.Status))
 		return true
 	}
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxPlainBytes))
+	buffer := buffered{all: &f.router.buffers}
+	defer buffer.release()
+	body, err := buffer.readAll(a.Body)
 	if err != nil {
 		f.router.tracker.RecordFailure(e.ID, time.Now())
 		f.log("broken").Str("endpoint", e.ID).Err(err).Msg("answer broke off")
@@ -162,9 +163,6 @@
 	}
 }
 
-// maxPlainBytes is the maximum size of an answer that isn't a stream.
-const maxPlainBytes = 16 << 20
-
 func (f *flight) finish(outcome string, e *buckthornpin.Endpoint) {
 	f.outcome = outcome
 	f.log(outcome).Str("endpoint", e.ID).Int64("events", f.progress.delivered).Int64("first_ms", f.firstPartAt.Sub(f.request.Arrived).Milliseconds()).
--- /dev/null
+++ b/relay/endless_test.go
@@ -0,0 +1,89 @@
+package relay
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// endlessBody yields the same byte without end and counts what was read.
+type endlessBody struct {
+	read   int
+	closed bool
+}
+
+func (b *endlessBody) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = 'x'
+	}
+	b.read += len(p)
+	return len(p), nil
+}
+
+func (b *endlessBody) Close() error {
+	b.closed = true
+	return nil
+}
+
+func endless(header http.Header) (*Answer, *endlessBody) {
+	b := &endlessBody{}
+	a := answer(200, nil, header)
+	a.Body = b
+	return a, b
+}
+
+// TestEndlessBody guards against a body without end that reaches the caller as a complete
+// answer, cut off at the size limit, and takes the router's memory.
+func TestEndlessBody(t *testing.T) {
+	for name, header := range map[string]http.Header{"plain": {}, "event without end": {contentType: {eventStream}}} {
+		t.Run(name, func(t *testing.T) {
+			path := "/safe/x"
+			if name != "plain" {
+				path = "/resume/x"
+			}
+			a, body := endless(header)
+			next := plain(200, "ok")
+			if name != "plain" {
+				next = stream(events("1"))
+			}
+			reply, _, _ := serve(t, path, step{answer: a}, step{answer: next})
+			require.Equal(t, 200, reply.status)
+			require.Less(t, reply.body.Len(), 100, "the next endpoint's answer")
+			require.True(t, body.closed)
+			require.LessOrEqual(t, body.read, maxPlainBytes+maxEventBytes)
+		})
+	}
+}
+
+// TestLargeAnswerPasses checks that an honest answer of the largest size passes whole.
+func TestLargeAnswerPasses(t *testing.T) {
+	text := strings.Repeat("x", maxPlainBytes)
+	reply, _, _ := serve(t, "/safe/x", step{answer: plain(200, text)})
+	require.Equal(t, len(text), reply.body.Len())
+}
+
+// TestManyEndlessBodies guards against bodies that are each within the limit of one answer but
+// together exceed the router's memory: further ones fail while the buffers are full.
+func TestManyEndlessBodies(t *testing.T) {
+	var b buffers
+	var held []*buffered
+	for {
+		part := &buffered{all: &b}
+		if _, err := part.readAll(io.LimitReader(&endlessBody{}, maxPlainBytes)); err != nil {
+			break
+		}
+		held = append(held, part)
+		require.LessOrEqual(t, len(held)*maxPlainBytes, maxBufferedBytes)
+	}
+	require.NotEmpty(t, held)
+	for _, part := range held {
+		part.release()
+	}
+	part := &buffered{all: &b}
+	data, err := part.readAll(strings.NewReader("ok"))
+	require.NoError(t, err)
+	require.Equal(t, "ok", string(data))
+}
--- a/relay/router.go
+++ b/relay/router.go
@@ -58,6 +58,7 @@
 	Log     zerolog.Logger
 
 	tracker  route.Tracker
+	buffers  buffers
 	inFlight atomic.Int64
 	metrics  metrics
 }
