Endpoints: one that names a pause with its 503 is left alone for so long

Cause: Retry-After of an endpoint's 503 wasn't decoded; the next requests went there again as long as it was the best choice.

The pause counts from the arrival of the answer, for this router and this incarnation only; of several the latest end counts. It is one more reason in the tracker's choice, through which all attempts and resumptions go.

--- a/integ/fleet_engine_test.go
+++ b/integ/fleet_engine_test.go
@@ -41,6 +41,10 @@
 	// limit holds the requests a second that the endpoint names in its answers; nil names
 	// none.
 	limit atomic.Pointer[float64]
+	// pauseUntil is the time until which the endpoint turns requests away and says so; nil if
+	// it takes them. turnedAway counts those that it has turned away.
+	pauseUntil atomic.Pointer[time.Time]
+	turnedAway atomic.Int64
 	// saysLeaving makes all answers say that the endpoint is leaving.
 	saysLeaving atomic.Bool
 	// crashPart is the part of a prompt under which the endpoint crashes when it begins its
@@ -206,6 +210,12 @@
 		e.decline(w, q, http.StatusMisdirectedRequest)
 		return
 	}
+	if until := e.pauseUntil.Load(); until != nil && time.Now().Before(*until) {
+		e.turnedAway.Add(1)
+		platf.EncodePause(w.Header(), time.Until(*until))
+		e.decline(w, q, http.StatusServiceUnavailable)
+		return
+	}
 	if e.running.Add(1) > endpointSlots {
 		e.running.Add(-1)
 		e.decline(w, q, http.StatusServiceUnavailable)
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -40,6 +40,7 @@
 	}
 	defer func() { _ = a.Body.Close() }()
 	f.observeLimit(e, a)
+	f.observePause(e, a)
 	f.sentCount++
 	if a.Misdirected || a.Leaving {
 		f.router.Directory.MarkLeaving(e.ID, e.Incarnation)
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -40,10 +40,11 @@
 	// attemptStart is when the latest attempt began, headerAt when the header of its
 	// answer arrived or it failed; zero before.
 	attemptStart, headerAt time.Time
-	// limited is set if no endpoint is left to try but some whose limits are used up, and
-	// limitWait is when the first one allows a request; 0 if that isn't known.
-	limited   bool
-	limitWait time.Duration
+	// limited is set if no endpoint is left to try but some whose limits are used up, paused if
+	// some want no requests. limitWait is when the first one allows a request; 0 if that isn't
+	// known.
+	limited, paused bool
+	limitWait       time.Duration
 }
 
 // streamProgress is the part of a stream that was delivered to the caller.
@@ -240,6 +241,8 @@
 		f.refuse(ReasonBroken, 0)
 	case f.limited:
 		f.refuse(ReasonLimited, f.retryAfterLimit())
+	case f.paused:
+		f.refuse(ReasonPaused, f.retryAfterLimit())
 	case f.sentCount > 0:
 		f.refuse(ReasonFull, f.retryAfter())
 	default:
--- a/relay/request.go
+++ b/relay/request.go
@@ -81,6 +81,8 @@
 	// Signed is set if the answer has an endpoint's signature.
 	Signed bool
 	Limit  buckthornpin.StatedLimit
+	// Pause is for how long the endpoint wants no requests from this router.
+	Pause buckthornpin.StatedPause
 }
 
 // Endpoints sends requests to endpoints. An error of KindNotSent means that nothing was
@@ -122,6 +124,8 @@
 	ReasonFull            Reason = "full"
 	// ReasonLimited means that the endpoints have named limits which are used up.
 	ReasonLimited Reason = "limited"
+	// ReasonPaused means that the endpoints want no requests from this router for a time.
+	ReasonPaused Reason = "paused"
 	// ReasonQuarantined means that the request has crashed several endpoints.
 	ReasonQuarantined Reason = "quarantined"
 	// ReasonOverload means that this VM can't handle the request in time; another one can.
--- a/route/tracker.go
+++ b/route/tracker.go
@@ -108,12 +108,15 @@
 	errors      errorRate
 	parts       map[string]time.Time
 	usedAt      time.Time
+	// pausedUntil is the time until which the endpoint wants no requests.
+	pausedUntil time.Time
 }
 
 // forgetAfterRestart forgets the parts of an endpoint that has restarted under its id.
 func (s *endpointState) forgetAfterRestart(e *buckthornpin.Endpoint) {
 	if s.incarnation != e.Incarnation {
 		s.incarnation = e.Incarnation
+		s.pausedUntil = time.Time{}
 		clear(s.parts)
 	}
 }
@@ -176,7 +179,7 @@
 	}
 	t.sweptAt = now
 	for id, s := range t.endpoints {
-		if s.load.Running == 0 && now.Sub(s.usedAt) > idleExpiry {
+		if s.load.Running == 0 && now.Sub(s.usedAt) > idleExpiry && !now.Before(s.pausedUntil) {
 			delete(t.endpoints, id)
 		}
 	}
@@ -253,6 +256,30 @@
 	}
 }
 
+// RecordPause records that an endpoint wants no requests from this router until a time. Of
+// several such times, the latest counts.
+func (t *Tracker) RecordPause(e *buckthornpin.Endpoint, until, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.state(e.ID)
+	s.forgetAfterRestart(e)
+	s.usedAt = now
+	if until.After(s.pausedUntil) {
+		s.pausedUntil = until
+	}
+}
+
+// PauseLeft returns for how long an endpoint wants no requests; 0 if it takes some.
+func (t *Tracker) PauseLeft(e *buckthornpin.Endpoint, now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.endpoints[e.ID]
+	if s == nil || s.incarnation != e.Incarnation {
+		return 0
+	}
+	return max(s.pausedUntil.Sub(now), 0)
+}
+
 // Loads returns this router's work in progress by endpoint id.
 func (t *Tracker) Loads() map[string]Load {
 	t.mu.Lock()
@@ -268,8 +295,8 @@
 
 // Choose returns the endpoint at which the request is expected to start first; ok is
 // false if there is none. Endpoints that failed recently come last. An endpoint with the
-// largest allowed number of requests of this router, or whose limit is used up, isn't
-// chosen.
+// largest allowed number of requests of this router, whose limit is used up, or which wants
+// no requests, isn't chosen.
 func (t *Tracker) Choose(all []EndpointOption, w Work, zone string, now time.Time) (best Choice, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -280,7 +307,7 @@
 	for i, e := range all {
 		s, rank := t.candidates[i].state, t.candidates[i].rank
 		s.forgetAfterRestart(e.Endpoint)
-		if e.Limited || e.MaxRunning > 0 && s.load.Running >= e.MaxRunning {
+		if now.Before(s.pausedUntil) || e.Limited || e.MaxRunning > 0 && s.load.Running >= e.MaxRunning {
 			continue
 		}
 		uncached := s.expectedUncachedTokens(w, i == preferred)
