Fleet test: endpoints that pour out bytes

Requests that may be repeated are served by the others, no router uses more than 112 MB, no caller gets anything that isn't an endpoint's answer.

--- a/integ/fleet_engine_test.go
+++ b/integ/fleet_engine_test.go
@@ -1,6 +1,7 @@
 package integ
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net"
@@ -45,6 +46,8 @@
 	// it takes them. turnedAway counts those that it has turned away.
 	pauseUntil atomic.Pointer[time.Time]
 	turnedAway atomic.Int64
+	// pours makes the endpoint answer with bytes without end.
+	pours atomic.Bool
 	// saysLeaving makes all answers say that the endpoint is leaving.
 	saysLeaving atomic.Bool
 	// crashPart is the part of a prompt under which the endpoint crashes when it begins its
@@ -223,6 +226,10 @@
 	}
 	defer e.running.Add(-1)
 	e.fleet.observed.recordExecution(execution{id: q.ID, endpoint: e, organisation: q.Organisation, at: time.Now(), key: q.Key})
+	if e.pours.Load() {
+		pour(w, q.ID, e.received.Add(1))
+		return
+	}
 	platf.EncodeEndpointAnswer(w.Header(), q.ID, signature(q.ID), false)
 	if e.saysLeaving.Load() {
 		platf.EncodeLeaving(w.Header())
@@ -247,6 +254,43 @@
 	}
 }
 
+// pouredAnswers begin with a head and go on with the same bytes without end. The head has the
+// endpoint's own headers if it is signed.
+var pouredAnswers = []struct {
+	signed         bool
+	head, repeated string
+}{
+	{false, "", "\x00\xff"},
+	{false, "X: ", "x"},
+	{false, "", "X: x\r\n"},
+	{true, "Transfer-Encoding: chunked\r\n\r\n2;x=", "x"},
+	{true, "\r\n", "x"},
+	{true, "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: ", "x"},
+}
+
+// pour answers with bytes without end until the router closes the connection.
+func pour(w http.ResponseWriter, id string, nth int64) {
+	a := pouredAnswers[nth%int64(len(pouredAnswers))]
+	c, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = c.Close() }()
+	var head bytes.Buffer
+	head.WriteString("HTTP/1.1 200 OK\r\n")
+	if a.signed {
+		h := http.Header{}
+		platf.EncodeEndpointAnswer(h, id, signature(id), false)
+		_ = h.Write(&head)
+	}
+	head.WriteString(a.head)
+	_, err = c.Write(head.Bytes())
+	text := []byte(strings.Repeat(a.repeated, 16<<10))
+	for err == nil {
+		_, err = c.Write(text)
+	}
+}
+
 func (e *endpointStub) decline(w http.ResponseWriter, q platf.EndpointRequest, status int) {
 	platf.EncodeEndpointAnswer(w.Header(), q.ID, "", true)
 	w.WriteHeader(status)
