--- a/relay/flight.go
+++ b/relay/flight.go
@@ -102,6 +102,9 @@
 	now := time.Now()
 	h, held := f.router.Crashes.Check(f.suspect, retry, now)
 	if !held {
+		if h.Generation > 0 {
+			f.log("trial").Str("subject", subjectName(h.Subject)).Int("generation", h.Generation).Msg("quarantine is over, request is sent on trial")
+		}
 		return false
 	}
 	f.log(string(ReasonQuarantined)).Str("subject", subjectName(h.Subject)).Int("crashes", h.Crashes).Int("generation", h.Generation).
--- a/route/quarantine.go
+++ b/route/quarantine.go
@@ -148,8 +148,9 @@
 }
 
 // Check returns the quarantine that keeps a request from being sent to an endpoint, if any.
-// A retry is never let through on trial.
-func (q *Quarantine) Check(s Suspect, retry bool, now time.Time) (Hold, bool) {
+// If held is false, it returns the quarantine that has ended and on whose trial the request
+// is sent. A retry is never sent on trial.
+func (q *Quarantine) Check(s Suspect, retry bool, now time.Time) (h Hold, held bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if len(q.holds) == 0 {
@@ -157,20 +158,21 @@
 	}
 	q.forget(now)
 	var trials []*hold
-	for _, subject := range append([]Subject{s.Request}, s.Parts...) {
-		h := q.holds[subject]
-		if h == nil {
+	for _, subject := range s.subjects() {
+		t := q.holds[subject]
+		if t == nil {
 			continue
 		}
-		if retry || now.Before(h.trialsFrom) || now.Before(h.trialUntil) {
-			return h.Hold, true
+		if retry || now.Before(t.trialsFrom) || now.Before(t.trialUntil) {
+			return t.Hold, true
 		}
-		trials = append(trials, h)
+		trials = append(trials, t)
 	}
-	for _, h := range trials {
-		h.trialUntil = now.Add(trialTime)
+	for _, t := range trials {
+		t.trialUntil = now.Add(trialTime)
+		h = t.Hold
 	}
-	return Hold{}, false
+	return h, false
 }
 
 // Reports returns what to report to another router in one message.
--- a/route/quarantine_test.go
+++ b/route/quarantine_test.go
@@ -162,8 +162,9 @@
 
 	now = now.Add(2*minQuarantine + time.Second)
 	require.True(t, held(q, s(1), now), "a retry")
-	_, kept = q.Check(s(1), false, now)
+	h, kept := q.Check(s(1), false, now)
 	require.False(t, kept, "the trial")
+	require.Equal(t, 1, h.Generation)
 	_, kept = q.Check(s(2), false, now)
 	require.True(t, kept, "during the trial")
 	begun, _ := q.RecordCrash(crashOf("e9", now, s(1)), now)
