--- a/budget/fault_day_model_test.go
+++ b/budget/fault_day_model_test.go
@@ -120,7 +120,9 @@
 
 // startRouter starts a new process on a router's VM.
 func (day *faultDay) startRouter(ctx context.Context, r *dayRouter) {
+	day.mu.Lock()
 	r.incarnation++
+	day.mu.Unlock()
 	ctx, r.stop = context.WithCancel(ctx)
 	m := &ShareManager{
 		Control: r, Lenders: r, Address: r.address, Incarnation: r.incarnation, Horizon: 9 * time.Second,
