Shares: routers hold less of the last fifth of a total

Cause: near the end of a total what a router holds is less than its limit allows, so that a kill of all routers loses all that they hold, half of what is unspent; the totals then cover requests that nobody serves.

An eighth is held of the last fifth.

--- a/ledger/share.go
+++ b/ledger/share.go
@@ -24,6 +24,11 @@
 	// ones divided by it. When a budget is nearly used up, tokens kept at control are
 	// merely spent later, while those held by a lost router are never spent.
 	outstandingDivisor = 2
+	// lastOutstandingDivisor takes its place when less than the total divided by
+	// lastDivisor is unspent. Routers then hold less than they would lose in a kill, and
+	// ask control more often.
+	lastOutstandingDivisor = 8
+	lastDivisor            = 5
 	// idleDivisor limits the tokens handed out without demand to the unspent ones
 	// divided by it.
 	idleDivisor = 4
@@ -169,7 +174,11 @@
 	ownDemand := float64(s.GetRate()) * float64(span) / 1000
 	evenPart := float64(d.rate) * float64(horizonMS-span) / 1000 / float64(d.routers)
 	demand := float64(d.rate) * float64(horizonMS) / 1000
-	scale := min(1, float64(unspent)/outstandingDivisor/demand)
+	divisor := int64(outstandingDivisor)
+	if unspent < a.total/lastDivisor {
+		divisor = lastOutstandingDivisor
+	}
+	scale := min(1, float64(unspent/divisor)/demand)
 	minShare := min(float64(unspent)/idleDivisor, minLargestRequests*float64(largest)) / float64(d.routers)
 	return int64(max(scale*(ownDemand+evenPart), minShare))
 }
