--- a/budget/fault_day_test.go
+++ b/budget/fault_day_test.go
@@ -8,20 +8,39 @@
 	"github.com/stretchr/testify/require"
 )
 
+const (
+	dayRouters, dayOrganisations = 6, 10
+	dayRequestsPerSecond         = 63
+	// recovery is the time after a fault from which on requests have to be served again.
+	recovery = 12 * time.Second
+	// leastServedPercent is the percentage of the requests that the totals cover, and that has
+	// to be served.
+	leastServedPercent = 25
+)
+
+// requireServedAfterAFault plays a day with several seeds. The first of its faults begins at one
+// time, and the routers are back from the last one at another.
+func requireServedAfterAFault(t *testing.T, sizes []daySize, fault, back time.Duration, events []dayEvent) {
+	t.Helper()
+	for seed := range uint64(8) {
+		synctest.Test(t, func(t *testing.T) {
+			day := newFaultDay(seed, dayRouters, dayOrganisations, dayRequestsPerSecond, sizes)
+			day.play(t, seed, back+recovery+3*time.Second, events)
+			before, _ := day.share(0, fault)
+			after, owed := day.share(back+recovery, back+recovery+3*time.Second)
+			require.GreaterOrEqual(t, before, leastServedPercent, "seed %d: served before the fault", seed)
+			require.GreaterOrEqual(t, after, leastServedPercent, "seed %d: served of %d requests owed after the fault", seed, owed)
+		})
+	}
+}
+
 // TestBudgetsOutliveAKillOfAllRouters guards against organisations that are refused after
 // a fault of all processes although much of their totals was never used: the shares of
 // the killed routers were lost. 12 s after the routers are back, a quarter of the
 // requests that the totals cover has to be served.
 func TestBudgetsOutliveAKillOfAllRouters(t *testing.T) {
-	const (
-		routers, organisations = 6, 10
-		requestsPerSecond      = 63
-		fault, down            = 34 * time.Second, 2 * time.Second
-		back                   = fault + down
-		recovery               = 12 * time.Second
-		leastServedPercent     = 25
-	)
-	events := []dayEvent{
+	const fault, back = 34 * time.Second, 36 * time.Second
+	requireServedAfterAFault(t, standardSizes, fault, back, []dayEvent{
 		{8 * time.Second, cutAll(true)},
 		{13 * time.Second, cutAll(false)},
 		{16 * time.Second, killRouters(2)},
@@ -29,20 +48,10 @@
 		{25 * time.Second, cutAll(true)},
 		{31 * time.Second, cutAll(false)},
 		{fault, control(false)},
-		{fault, killRouters(routers)},
-		{back, restartRouters(routers)},
+		{fault, killRouters(dayRouters)},
+		{back, restartRouters(dayRouters)},
 		{back + 500*time.Millisecond, control(true)},
-	}
-	for seed := range uint64(8) {
-		synctest.Test(t, func(t *testing.T) {
-			day := newFaultDay(seed, routers, organisations, requestsPerSecond, standardSizes)
-			day.play(t, seed, back+recovery+3*time.Second, events)
-			before, _ := day.share(0, fault)
-			after, owed := day.share(back+recovery, back+recovery+3*time.Second)
-			require.GreaterOrEqual(t, before, leastServedPercent, "seed %d: served before the fault", seed)
-			require.GreaterOrEqual(t, after, leastServedPercent, "seed %d: served of %d requests owed after the fault", seed, owed)
-		})
-	}
+	})
 }
 
 // TestBudgetsOutliveTwoKillsOfAllRouters guards against totals that end early because each kill
@@ -50,32 +59,15 @@
 // others. 12 s after the routers are back, a quarter of the requests that the totals cover has
 // to be served.
 func TestBudgetsOutliveTwoKillsOfAllRouters(t *testing.T) {
-	const (
-		routers, organisations = 6, 10
-		requestsPerSecond      = 63
-		firstKill, firstBack   = 32500 * time.Millisecond, 33 * time.Second
-		lastKill, back         = 34 * time.Second, 36 * time.Second
-		recovery               = 12 * time.Second
-		leastServedPercent     = 25
-	)
-	events := []dayEvent{
-		{firstKill, killRouters(routers)},
-		{firstBack, restartRouters(routers)},
+	const firstKill, lastKill, back = 32500 * time.Millisecond, 34 * time.Second, 36 * time.Second
+	requireServedAfterAFault(t, mixedSizes, firstKill, back, []dayEvent{
+		{firstKill, killRouters(dayRouters)},
+		{33 * time.Second, restartRouters(dayRouters)},
 		{lastKill, control(false)},
-		{lastKill, killRouters(routers)},
-		{back, restartRouters(routers)},
+		{lastKill, killRouters(dayRouters)},
+		{back, restartRouters(dayRouters)},
 		{back + 500*time.Millisecond, control(true)},
-	}
-	for seed := range uint64(8) {
-		synctest.Test(t, func(t *testing.T) {
-			day := newFaultDay(seed, routers, organisations, requestsPerSecond, mixedSizes)
-			day.play(t, seed, back+recovery+3*time.Second, events)
-			before, _ := day.share(0, firstKill)
-			after, owed := day.share(back+recovery, back+recovery+3*time.Second)
-			require.GreaterOrEqual(t, before, leastServedPercent, "seed %d: served before the fault", seed)
-			require.GreaterOrEqual(t, after, leastServedPercent, "seed %d: served of %d requests owed after the fault", seed, owed)
-		})
-	}
+	})
 }
 
 // TestLimitedSharesAreLentInACut guards against limits that keep the shares of a large fleet
@@ -88,7 +80,7 @@
 		requestsPerSecond      = 680
 		cut, limitsEnd         = 8 * time.Second, 12 * time.Second
 		seeds                  = 4
-		leastServedPercent     = 90
+		leastServed            = 90
 	)
 	sum := 0
 	for seed := range uint64(seeds) {
@@ -99,5 +91,5 @@
 			sum += served
 		})
 	}
-	require.GreaterOrEqual(t, sum/seeds, leastServedPercent, "served of 100 requests owed in the cut")
+	require.GreaterOrEqual(t, sum/seeds, leastServed, "served of 100 requests owed in the cut")
 }
--- a/integ/fleet_crash_test.go
+++ b/integ/fleet_crash_test.go
@@ -19,6 +19,19 @@
 	badRequestPause = 250 * time.Millisecond
 )
 
+// startCrashingFleet starts a fleet under load whose endpoints crash under a part of a prompt.
+// The returned function ends the load.
+func startCrashingFleet(t *testing.T, part string) (f *fleet, end func()) {
+	t.Helper()
+	f = startFleet(t, fleetPlan{controls: 3, routers: 3, modelEndpoints: 8, plainEndpoints: 1, prepaid: amplePrepaid})
+	end = f.startLoad(6, 20*time.Millisecond, 3)
+	f.wait(time.Second)
+	for _, e := range f.endpoints {
+		e.crashPart.Store(&part)
+	}
+	return f, end
+}
+
 // sendPart sends requests whose prompts have the given shared parts through all routers in
 // turn, no two alike, and returns their attempts.
 func (f *fleet) sendPart(parts []string, pause, span time.Duration) []attempt {
@@ -55,13 +68,7 @@
 // router. Requests of the same caller with the other parts stay served.
 func TestPartThatCrashesEnginesIsKeptAway(t *testing.T) {
 	const shared, bad = "0", "crash"
-	f := startFleet(t, fleetPlan{controls: 3, routers: 3, modelEndpoints: 8, plainEndpoints: 1, prepaid: amplePrepaid})
-	end := f.startLoad(6, 20*time.Millisecond, 3)
-	f.wait(time.Second)
-	for _, e := range f.endpoints {
-		part := bad
-		e.crashPart.Store(&part)
-	}
+	f, end := startCrashingFleet(t, bad)
 	sent := f.sendPart([]string{shared, bad}, badRequestPause, 4*time.Second)
 	f.observed.mu.Lock()
 	crashes := f.observed.crashes
@@ -86,13 +93,7 @@
 // seconds.
 func TestStartingRouterLearnsWhatIsKeptAway(t *testing.T) {
 	const shared, bad = "0", "crash"
-	f := startFleet(t, fleetPlan{controls: 3, routers: 3, modelEndpoints: 8, plainEndpoints: 1, prepaid: amplePrepaid})
-	end := f.startLoad(6, 20*time.Millisecond, 3)
-	f.wait(time.Second)
-	for _, e := range f.endpoints {
-		part := bad
-		e.crashPart.Store(&part)
-	}
+	f, end := startCrashingFleet(t, bad)
 	f.sendPart([]string{shared, bad}, badRequestPause, 3*time.Second)
 	f.wait(crashReportTime)
 	f.kill(f.routers[0])
