--- a/route/crash.go
+++ b/route/crash.go
@@ -51,7 +51,7 @@
 	crashMemory = 10 * time.Minute
 	// crashReportTime is how long a crash is reported to other routers.
 	crashReportTime = 5 * time.Second
-	// maxReported bounds the crashes, quarantines and acquittals in one message.
+	// maxReported bounds the crashes in one message, and the clearances.
 	maxReported = 16
 )
 
