Shares: Run waits for its next report without a ticker

A ticker that has come due while its goroutine does something else, and is then polled by a select within a synctest bubble, leaves entries on a stack of the race detector. They add up over the process, until it crashes.

A report that gets no answer takes 1.5 s, the interval is 0.4 s, so that each router had such a ticker in each cut. Run now waits with a timer that is set only if the next report isn't due yet.

--- a/budget/report.go
+++ b/budget/report.go
@@ -12,20 +12,34 @@
 // Run reports to control and rebalances tokens between routers until ctx ends. It
 // always returns nil.
 func (m *ShareManager) Run(ctx context.Context) error {
-	ticker := time.NewTicker(ReportInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-m.reportNow:
-		case <-ticker.C:
+	due := time.Now().Add(ReportInterval)
+	for m.waitForReport(ctx, due) {
+		if now := time.Now(); !now.Before(due) {
+			due = now.Add(ReportInterval)
 		}
 		reportCtx, cancel := context.WithTimeout(ctx, reportTimeout)
 		m.report(reportCtx, m.organisationsToReport())
 		cancel()
 		m.rebalance(ctx)
 	}
+	return nil
+}
+
+// waitForReport waits until a report is due or requested. It reports whether to go on.
+func (m *ShareManager) waitForReport(ctx context.Context, due time.Time) bool {
+	d := time.Until(due)
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-m.reportNow:
+	case <-t.C:
+	}
+	return true
 }
 
 // organisationsToReport returns the organisations whose shares are due to be reported
