Shares: what another router hands over may be used beyond the limits

What callers saw: in the first 3 s of a cut from control, requests got 429 although another router had lent the tokens for them.

Cause: a limit bounds what a router uses of its share in total, so that tokens received from another router added to its balance, but not to what it might use. The lender's own limit counts them as used, so that lending in a cut only destroyed room.

Control takes back granted + received - allowed, with the tokens received as of a router's report. A limit now remembers them, and allows what is received later besides. For this control must not learn of later receipts without a new limit; a report without one repeats the older count.

Failed before: TestReceivedTokensMayBeUsedBeyondTheLimit.

--- a/budget/report.go
+++ b/budget/report.go
@@ -74,7 +74,7 @@
 	for _, name := range organisations {
 		s := m.share(name)
 		r := s.report(name, now)
-		r.Limit = m.nextLimit(s, now)
+		r.Limit, r.Received = m.nextLimit(s, now), s.reportedReceived()
 		c.Shares = append(c.Shares, r)
 	}
 	if m.unansweredSince.IsZero() {
@@ -108,7 +108,7 @@
 	s.dirty = false
 	return &wire.ShareReport{
 		Organisation: name, Spent: s.spent, Returned: s.returned, Balance: s.balance(),
-		Rate: int64(s.rate.perSecond(now)), Need: max(s.waiting-s.balance(), 0), Largest: s.largestBound, Received: s.receivedTotal,
+		Rate: int64(s.rate.perSecond(now)), Need: max(s.waiting-s.balance(), 0), Largest: s.largestBound,
 	}
 }
 
--- a/budget/use_limit.go
+++ b/budget/use_limit.go
@@ -30,9 +30,12 @@
 )
 
 // useLimit bounds the tokens of a share that may have been used, from one time to another.
-// The bound rises evenly.
+// The bound rises evenly. What other routers hand over later may be used besides, because
+// control knows nothing of it when it takes back the rest of the share.
 type useLimit struct {
 	sequence, tokens, tokensPerSecond int64
+	// received is the number of tokens received from other routers when the limit was set.
+	received int64
 	// until is zero if the use isn't limited.
 	from, until time.Time
 }
@@ -47,12 +50,21 @@
 	}
 }
 
-// room returns how many tokens beyond those used the limit allows.
-func (l *useLimit) room(used int64, now time.Time) int64 {
+// limitRoom returns how many tokens beyond those used a limit allows.
+func (s *share) limitRoom(l *useLimit, now time.Time) int64 {
 	if !now.Before(l.until) {
 		return math.MaxInt64
 	}
-	return ledger.AllowedUse(l.tokens, l.tokensPerSecond, now.Sub(l.from)) - used
+	return ledger.AllowedUse(l.tokens, l.tokensPerSecond, now.Sub(l.from)) + s.receivedTotal - l.received - s.used()
+}
+
+// reportedReceived returns the tokens received from other routers as control may know them:
+// as of the newest limit, which allows the use of those received later.
+func (s *share) reportedReceived() int64 {
+	if len(s.limits) == 0 {
+		return s.receivedTotal
+	}
+	return s.limits[len(s.limits)-1].received
 }
 
 // used returns the number of tokens that the share has used or may still use for
@@ -63,7 +75,7 @@
 func (s *share) available(now time.Time) int64 {
 	tokens := s.balance()
 	for _, l := range s.limits {
-		tokens = min(tokens, l.room(s.used(), now))
+		tokens = min(tokens, s.limitRoom(l, now))
 	}
 	return max(tokens, 0)
 }
@@ -72,7 +84,7 @@
 func (s *share) limitedFor(now time.Time) time.Duration {
 	d := time.Duration(0)
 	for _, l := range s.limits {
-		if l.room(s.used(), now) < s.balance() {
+		if s.limitRoom(l, now) < s.balance() {
 			d = max(d, l.until.Sub(now))
 		}
 	}
@@ -127,7 +139,7 @@
 		return
 	}
 	s.limitSequence++
-	l.sequence = s.limitSequence
+	l.sequence, l.received = s.limitSequence, s.receivedTotal
 	s.limits = append(s.limits, l)
 }
 
--- a/budget/use_limit_test.go
+++ b/budget/use_limit_test.go
@@ -240,3 +240,45 @@
 		}
 	})
 }
+
+// TestReceivedTokensMayBeUsedBeyondTheLimit guards against requests that are refused in a cut
+// from control although another router has handed over the tokens for them: the limit on the
+// share allowed no more than before.
+func TestReceivedTokensMayBeUsedBeyondTheLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const tokens = 50_000
+		c := newControl(testBudget)
+		m := newLimitedManager(t, c, 1)
+		s := m.share("fleet")
+		room := s.available(time.Now())
+		require.Less(t, room, int64(tokens))
+		c.cut = true
+		s.receive(peerKey{address: "b"}, tokens)
+		require.Equal(t, room+tokens, s.available(time.Now()))
+		require.Equal(t, buckthornpin.Covered, reserve(t, m, room+tokens))
+	})
+}
+
+// TestTokensReceivedDuringAnOutageAreNotTakenBack guards against overspending: control must not
+// learn of tokens that a router received after its last limit, because it would take back that
+// much more of the share, although the router may use them beyond the limit.
+func TestTokensReceivedDuringAnOutageAreNotTakenBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const received = 50_000
+		c := newControl(testBudget)
+		m := newLimitedManager(t, c, 1)
+		s := m.share("fleet")
+		c.cut = true
+		m.report(context.Background(), []string{"fleet"})
+		time.Sleep(maxUnanswered + time.Millisecond)
+		s.receive(peerKey{address: "b"}, received)
+		used := s.available(time.Now())
+		require.Equal(t, buckthornpin.Covered, reserve(t, m, used))
+		c.cut = false
+		// The limit that control may hold since the outage began isn't replaced.
+		m.report(context.Background(), []string{"fleet"})
+		newIdleManager(c, 2)
+		require.Greater(t, returned(c, m), s.returned, "the rest of the share is taken back")
+		require.LessOrEqual(t, used, s.granted-returned(c, m)+received)
+	})
+}
