Stopping: kept connections are closed with an answer that says so

A router that stopped turned keep-alive off, so that a stream whose headers had been sent before ended with the silent close of its connection: a caller's next request could cross it. Now connections stay open until their next answer, which asks the caller to close.

That this is what TestFleetServes saw isn't shown: the failure came 2.3 s after the stop, when the server shuts down, and streams of that test are shorter.

--- a/app/fleet.go
+++ b/app/fleet.go
@@ -80,6 +80,7 @@
 	pool              *conn.Pool
 	endpointDials     expvar.Int
 	callerConnections conn.ConnectionCounter
+	callerHandler     conn.ClosingHandler
 	draining          atomic.Bool
 	started           time.Time
 	metrics           *expvar.Map
--- a/app/fleet_run.go
+++ b/app/fleet_run.go
@@ -33,7 +33,7 @@
 	}
 	grace := time.Duration(p.Settings.Platform.Grace)
 	callerServer := p.servers[0]
-	callerServer.SetKeepAlivesEnabled(false)
+	p.callerHandler.StartClosing()
 	buckthornpin.Wait(ctx, min(balancerDetectionTime, grace/3))
 	shutdownCtx, cancel := context.WithDeadline(ctx, started.Add(grace-stopMargin))
 	err := callerServer.Shutdown(shutdownCtx)
--- a/app/fleet_servers.go
+++ b/app/fleet_servers.go
@@ -70,8 +70,8 @@
 	platform := p.Settings.Platform
 	var out []servedAddress
 	if p.router != nil {
-		ingress := &platf.Ingress{Router: p, MaxBodyBytes: p.maxBodyBytes}
-		callerServer := &http.Server{Handler: ingress, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxCallerHeaderBytes}
+		p.callerHandler.Handler = &platf.Ingress{Router: p, MaxBodyBytes: p.maxBodyBytes}
+		callerServer := &http.Server{Handler: &p.callerHandler, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxCallerHeaderBytes}
 		p.callerConnections.CountConnections(callerServer)
 		out = append(out, servedAddress{name: "callers", address: platform.CallerAddress, server: callerServer, acceptsConnections: p.router.Guard.AcceptsConnections})
 		out = append(out, servedAddress{name: "ready", address: platform.ReadyAddress, server: &http.Server{Handler: platf.ReadyHandler(p.Ready), ReadHeaderTimeout: callerHeaderTimeout}})
