Shares: requests at the start of a cut ask other routers in time

Cause: a request for which its router has no tokens asked control first, for up to 250 ms, unless control had been silent for 2 s. It may wait a quarter of its route's objective, 125 to 150 ms, so that in these 2 s it never asked a router. Now it waits for control alone for a third of its time, then asks the others, and takes control's answer if that comes after all. While a report has been unanswered for 250 ms, control isn't asked on behalf of requests.

The slow control of TestRequestDuringAnAcquisition now ends a call with its context, as the real client does.

--- a/budget/acquire_test.go
+++ b/budget/acquire_test.go
@@ -20,8 +20,12 @@
 
 // Execute implements Committer.
 func (c *slowControl) Execute(ctx context.Context, commands []*wire.Command) ([]*wire.Result, error) {
-	time.Sleep(c.delay)
-	return c.ledgerControl.Execute(ctx, commands)
+	select {
+	case <-time.After(c.delay):
+		return c.ledgerControl.Execute(ctx, commands)
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
 }
 
 // TestRequestDuringAnAcquisition guards against refusing a request that arrives while
--- a/budget/borrow.go
+++ b/budget/borrow.go
@@ -48,9 +48,8 @@
 	return buckthornpin.BudgetSpent
 }
 
-// acquire asks control for tokens if it has answered recently, and then the other
-// routers in descending order of balance. It has failed if they don't cover a request
-// of the given tokens.
+// acquire asks control for tokens, and then the other routers in descending order of
+// balance. It has failed if they don't cover a request of the given tokens.
 func (m *ShareManager) acquire(ctx context.Context, organisation string, s *share, tokens int64) {
 	defer func() {
 		m.mu.Lock()
@@ -61,13 +60,15 @@
 		s.notifyWaiters()
 		m.mu.Unlock()
 	}()
-	m.mu.Lock()
-	askControl := time.Since(m.lastAnswer) <= maxControlSilence
-	m.mu.Unlock()
-	if askControl {
-		controlCtx, cancel := context.WithTimeout(ctx, urgentTimeout)
-		m.report(controlCtx, []string{organisation})
+	reportCtx, cancel := context.WithTimeout(ctx, urgentTimeout)
+	answered := m.askControl(reportCtx, organisation)
+	defer func() {
 		cancel()
+		<-answered
+	}()
+	select {
+	case <-answered:
+	case <-time.After(controlWait(ctx)):
 	}
 	for _, l := range m.lenders(s) {
 		shortfall := m.shortfall(s)
@@ -76,6 +77,36 @@
 		}
 		m.borrow(ctx, organisation, s, l.address, shortfall)
 	}
+	if m.shortfall(s) > 0 {
+		<-answered
+	}
+}
+
+// askControl reports a share at once, unless control has left an earlier report unanswered. The
+// returned channel is closed when the report has ended.
+func (m *ShareManager) askControl(ctx context.Context, organisation string) <-chan struct{} {
+	ended := make(chan struct{})
+	m.mu.Lock()
+	silent := !m.unansweredSince.IsZero() && time.Since(m.unansweredSince) > urgentTimeout
+	m.mu.Unlock()
+	if silent {
+		close(ended)
+		return ended
+	}
+	go func() {
+		defer close(ended)
+		m.report(ctx, []string{organisation})
+	}()
+	return ended
+}
+
+// controlWait returns how long a request waits for control before it asks other routers.
+func controlWait(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return urgentTimeout
+	}
+	return min(time.Until(deadline)/controlWaitDivisor, urgentTimeout)
 }
 
 // shortfall returns the number of tokens that the waiting requests need beyond those
--- a/budget/wallet.go
+++ b/budget/wallet.go
@@ -18,8 +18,12 @@
 	ReportInterval = 400 * time.Millisecond
 	// reportTimeout bounds a report.
 	reportTimeout = 1500 * time.Millisecond
-	// urgentTimeout bounds a report that a waiting request triggers.
+	// urgentTimeout bounds a report that a waiting request triggers. Control that has left a
+	// report unanswered for longer isn't asked on behalf of a request.
 	urgentTimeout = 250 * time.Millisecond
+	// controlWaitDivisor divides the time that a request has left into the part in which it
+	// waits for control alone. In the rest, other routers are asked.
+	controlWaitDivisor = 3
 	// maxControlSilence is the time since control's last answer after which requests
 	// no longer wait for control.
 	maxControlSilence = 2 * time.Second
