--- a/budget/use_limit.go
+++ b/budget/use_limit.go
@@ -23,7 +23,7 @@
 	maxUnanswered = ReportInterval
 	// limitReserve is the time for which a limit exceeds the demand that is expected until
 	// the next report.
-	limitReserve = ReportInterval / 4
+	limitReserve = ReportInterval / 2
 	// maxLimitAgeDivisor divides the time for which a limit holds into the age at which it is
 	// replaced although the share isn't used.
 	maxLimitAgeDivisor = 3
