Endpoints: one place decides whether one may get a request

What one forgot, another didn't know, and no line said why an endpoint wasn't asked.

Signals.Availability now answers for both interfaces whether an endpoint may get a request, and if not, why and until when. Choices count the obstacles; lines about a request have them as `not_asked`, and the refusal's reason and Retry-After follow from them.

Kept as it was: an endpoint whose announcements have ceased is the last resort on the platform's interface and no candidate on ours; a tried one the last resort on ours.

RateLimits.Allows and Tracker.PauseLeft were one caller's views of the same answers; their tests read Wait and the obstacles of a choice instead, with the same values.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -185,6 +185,9 @@
 	if f.owner != nil {
 		l = l.Str("organisation", f.owner.Name)
 	}
+	if notAsked := f.obstacles.String(); notAsked != "" {
+		l = l.Str("not_asked", notAsked)
+	}
 	return l
 }
 
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -40,11 +40,8 @@
 	// attemptStart is when the latest attempt began, headerAt when the header of its
 	// answer arrived or it failed; zero before.
 	attemptStart, headerAt time.Time
-	// limited is set if no endpoint is left to try but some whose limits are used up, paused if
-	// some want no requests. limitWait is when the first one allows a request; 0 if that isn't
-	// known.
-	limited, paused bool
-	limitWait       time.Duration
+	// obstacles are what kept the request from endpoints at the latest choice.
+	obstacles route.Obstacles
 }
 
 // streamProgress is the part of a stream that was delivered to the caller.
@@ -190,33 +187,21 @@
 	}
 }
 
-// choose picks an endpoint that hasn't been tried. An endpoint that control hasn't
-// heard from for a long time is the last resort: it may be cut off from control alone.
+// choose picks an endpoint that hasn't been tried.
 func (f *flight) choose() (route.Choice, bool) {
 	r := f.router
 	all := r.Directory.Serving(buckthornpin.Target{Service: f.service.Name})
-	alive := make([]route.EndpointOption, 0, len(all))
-	var silent []route.EndpointOption
+	options := make([]route.EndpointOption, 0, len(all))
 	maxConnections, now := r.connectionLimit(f.service), time.Now()
 	for _, e := range all {
-		if e.Leaving || f.tried[e.ID] {
-			continue
-		}
-		c := route.EndpointOption{Endpoint: e, LoadFromOthers: r.Loads.Others(e.ID), MaxRunning: maxConnections, Limited: !r.Limits.Allows(e, now)}
-		if e.Dead {
-			silent = append(silent, c)
-			continue
-		}
-		alive = append(alive, c)
+		options = append(options, route.EndpointOption{
+			Endpoint: e, LoadFromOthers: r.Loads.Others(e.ID), MaxRunning: maxConnections, Tried: f.tried[e.ID], LimitWait: r.Limits.Wait(e, now),
+		})
 	}
-	if len(alive) == 0 {
-		alive = silent
-	}
-	c, ok := r.tracker.Choose(alive, f.work(), r.Zone, now)
+	c, ok := r.tracker.Choose(options, f.work(), r.Zone, now)
+	f.obstacles = c.Obstacles
 	if ok {
 		r.Limits.CountRequest(c.Endpoint, now)
-	} else {
-		f.recordLimits(alive, now)
 	}
 	return c, ok
 }
@@ -242,10 +227,10 @@
 	switch {
 	case f.mayHaveRun:
 		f.refuse(ReasonBroken, 0)
-	case f.limited:
-		f.refuse(ReasonLimited, f.retryAfterLimit())
-	case f.paused:
-		f.refuse(ReasonPaused, f.retryAfterLimit())
+	case f.obstacles.Count(route.ObstacleLimited) > 0:
+		f.refuse(ReasonLimited, f.retryAfterObstacle())
+	case f.obstacles.Count(route.ObstaclePaused) > 0:
+		f.refuse(ReasonPaused, f.retryAfterObstacle())
 	case f.sentCount > 0:
 		f.refuse(ReasonFull, f.retryAfter())
 	default:
@@ -276,6 +261,9 @@
 // and changes of endpoints have reached all routers.
 const defaultRetryAfter = time.Second
 
+// minObstacleWait is the shortest Retry-After for a wait that has just ended.
+const minObstacleWait = time.Millisecond
+
 // retryAfter returns how long the caller should wait before it retries.
 func (f *flight) retryAfter() time.Duration {
 	if f.request.Deadline.IsZero() {
@@ -284,6 +272,15 @@
 	return max(min(defaultRetryAfter, time.Until(f.request.Deadline)/retryAfterDivisor), 0)
 }
 
+// retryAfterObstacle returns how long the caller should wait until an endpoint may get a
+// request, as far as this router knows and the caller's remaining time permits.
+func (f *flight) retryAfterObstacle() time.Duration {
+	if f.obstacles.FirstEnd.IsZero() {
+		return f.retryAfter()
+	}
+	return min(max(time.Until(f.obstacles.FirstEnd), minObstacleWait), f.retryAfter())
+}
+
 // refuse sends a refusal, or breaks the answer off if it has begun.
 func (f *flight) refuse(reason Reason, after time.Duration) {
 	f.outcome = string(reason)
--- a/route/choose.go
+++ b/route/choose.go
@@ -3,6 +3,7 @@
 package route
 
 import (
+	"slices"
 	"time"
 
 	"buckthornpin"
@@ -17,8 +18,11 @@
 	OpenUntil time.Time
 	// Tried is true if an attempt of the request has failed at the endpoint.
 	Tried bool
-	// Limited is true if this router's share of the endpoint's limit is used up.
-	Limited bool
+	// PausedUntil is the time until which the endpoint wants no requests from this router.
+	PausedUntil time.Time
+	// LimitWait is how long the endpoint's limit keeps requests of this router away; 0 if it
+	// doesn't.
+	LimitWait time.Duration
 }
 
 // Query holds the inputs of a decision other than the candidates.
@@ -45,6 +49,8 @@
 	// Limited means that the limits of all endpoints that could run the request are used
 	// up.
 	Limited
+	// Paused means that all endpoints that could run the request want none for a time.
+	Paused
 )
 
 const (
@@ -62,20 +68,14 @@
 // returns a tried candidate only if there is no other.
 func Choose(cs []Candidate, q Query) (int, Verdict) {
 	best, bestScore := -1, 0
-	verdict := Unserved
+	var obstacles Obstacles
 	for i := range cs {
 		c := &cs[i]
-		if !usable(c, &q) {
+		if !c.Endpoint.Serves(q.Target) {
 			continue
 		}
-		if c.Limited {
-			if verdict == Unserved {
-				verdict = Limited
-			}
-			continue
-		}
-		verdict = Busy
-		if c.InFlight >= c.Endpoint.Capacity {
+		if a := availability(c, &q); a.Obstacle != NoObstacle {
+			obstacles.add(a)
 			continue
 		}
 		s := score(c, &q, i)
@@ -83,23 +83,26 @@
 			best, bestScore = i, s
 		}
 	}
-	if best >= 0 {
+	switch {
+	case best >= 0:
 		return best, Chosen
+	case obstacles.Count(ObstacleFull) > 0:
+		return -1, Busy
+	case obstacles.Count(ObstacleLimited) > 0:
+		return -1, Limited
+	case obstacles.Count(ObstaclePaused) > 0:
+		return -1, Paused
 	}
-	return -1, verdict
+	return -1, Unserved
 }
 
-func usable(c *Candidate, q *Query) bool {
-	e := c.Endpoint
-	if e.Leaving || e.Dead || q.Now.Before(c.OpenUntil) || !e.Serves(q.Target) {
-		return false
-	}
-	for _, d := range q.Denied {
-		if d == e.ID {
-			return false
-		}
+// availability leaves Tried out of the signals: a tried candidate is the last resort.
+func availability(c *Candidate, q *Query) Availability {
+	signals := Signals{
+		Endpoint: c.Endpoint, Denied: slices.Contains(q.Denied, c.Endpoint.ID), Full: c.InFlight >= c.Endpoint.Capacity,
+		PausedUntil: c.PausedUntil, FailingUntil: c.OpenUntil, LimitWait: c.LimitWait,
 	}
-	return true
+	return signals.Availability(q.Now)
 }
 
 func score(c *Candidate, q *Query, i int) int {
--- a/route/pause_test.go
+++ b/route/pause_test.go
@@ -9,6 +9,15 @@
 	"buckthornpin"
 )
 
+// pauseLeft returns for how long an endpoint wants no requests; 0 if it takes some.
+func pauseLeft(t *Tracker, e *buckthornpin.Endpoint, at time.Time) time.Duration {
+	c, _ := t.Choose([]EndpointOption{{Endpoint: e}}, Work{}, "", at)
+	if c.Obstacles.Count(ObstaclePaused) == 0 {
+		return 0
+	}
+	return c.Obstacles.FirstEnd.Sub(at)
+}
+
 // TestPause checks how long an endpoint is left alone: answers may arrive out of order, the
 // latest time counts, and a new incarnation ends the pause.
 func TestPause(t *testing.T) {
@@ -19,18 +28,19 @@
 		_, ok := tracker.Choose([]EndpointOption{{Endpoint: e}}, Work{}, "", at)
 		return ok
 	}
+	pauseLeft := func(e *buckthornpin.Endpoint, at time.Time) time.Duration { return pauseLeft(&tracker, e, at) }
 	require.True(t, chosen(e, now))
 	tracker.RecordPause(e, now.Add(3*time.Second), now)
 	tracker.RecordPause(e, now.Add(time.Second), now)
 	require.False(t, chosen(e, now.Add(3*time.Second-1)))
-	require.Equal(t, 2*time.Second, tracker.PauseLeft(e, now.Add(time.Second)))
+	require.Equal(t, 2*time.Second, pauseLeft(e, now.Add(time.Second)))
 	require.True(t, chosen(e, now.Add(3*time.Second)))
-	require.Zero(t, tracker.PauseLeft(e, now.Add(3*time.Second)))
+	require.Zero(t, pauseLeft(e, now.Add(3*time.Second)))
 
 	tracker.RecordPause(e, now.Add(time.Hour), now)
 	next := *e
 	next.Incarnation = 2
-	require.Zero(t, tracker.PauseLeft(&next, now))
+	require.Zero(t, pauseLeft(&next, now))
 	require.True(t, chosen(&next, now))
 	require.True(t, chosen(&next, now.Add(time.Second)))
 }
@@ -46,5 +56,5 @@
 		now = now.Add(idleExpiry)
 		tracker.Start(Choice{Endpoint: other}, Work{}, now).End()
 	}
-	require.Positive(t, tracker.PauseLeft(e, now))
+	require.Positive(t, pauseLeft(&tracker, e, now))
 }
--- a/route/rate_limit.go
+++ b/route/rate_limit.go
@@ -219,32 +219,26 @@
 }
 
 // Wait returns how long this router has to wait before it may send a request to an
-// endpoint; 0 means that it may send one now. ok is false if it has no share of the
+// endpoint; 0 means that it may send one now, and UnknownWait that it has no share of the
 // endpoint's limit.
-func (r *RateLimits) Wait(e *buckthornpin.Endpoint, now time.Time) (wait time.Duration, ok bool) {
+func (r *RateLimits) Wait(e *buckthornpin.Endpoint, now time.Time) time.Duration {
 	if r.active.Load() == 0 {
-		return 0, true
+		return 0
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	l := r.limited(e)
 	if l == nil {
-		return 0, true
+		return 0
 	}
 	r.fill(l, now)
 	switch {
 	case l.share == 0:
-		return 0, false
+		return UnknownWait
 	case l.room >= 1:
-		return 0, true
+		return 0
 	}
-	return max(time.Duration((1-l.room)/l.share*float64(time.Second)), 1), true
-}
-
-// Allows reports whether this router may send a request to an endpoint now.
-func (r *RateLimits) Allows(e *buckthornpin.Endpoint, now time.Time) bool {
-	wait, ok := r.Wait(e, now)
-	return ok && wait == 0
+	return max(time.Duration((1-l.room)/l.share*float64(time.Second)), 1)
 }
 
 // CountRequest counts a request that is sent to an endpoint. Requests that are chosen for
--- a/route/rate_limit_test.go
+++ b/route/rate_limit_test.go
@@ -71,7 +71,7 @@
 		}
 		f.now = f.now.Add(step)
 		for _, name := range f.names {
-			for !f.unused[name] && f.routers[name].Allows(e, f.now) {
+			for !f.unused[name] && f.routers[name].Wait(e, f.now) == 0 {
 				f.routers[name].CountRequest(e, f.now)
 				sent = append(sent, f.now)
 			}
@@ -186,7 +186,7 @@
 	require.True(t, observe(b, 0, 6, 7))
 	f.gossip()
 	require.False(t, a.All()[0].Limited)
-	require.True(t, a.Allows(e, at(8)))
+	require.Zero(t, a.Wait(e, at(8)))
 }
 
 // TestLimitEndsWithTheIncarnation checks that the limit of an endpoint doesn't hold after
@@ -195,8 +195,8 @@
 	r, now := &RateLimits{}, time.Unix(1000, 0)
 	old, restarted := &buckthornpin.Endpoint{ID: "e", Incarnation: 1}, &buckthornpin.Endpoint{ID: "e", Incarnation: 2}
 	r.Observe(old, buckthornpin.StatedLimit{Stated: true, PerSecond: 0.1}, now, now)
-	require.False(t, r.Allows(old, now))
-	require.True(t, r.Allows(restarted, now))
+	require.NotZero(t, r.Wait(old, now))
+	require.Zero(t, r.Wait(restarted, now))
 	r.Merge(RateLimit{Endpoint: "e", Incarnation: 0, Version: 9}, now)
 	require.True(t, r.All()[0].Limited, "an earlier incarnation's limit is ignored")
 }
@@ -215,7 +215,7 @@
 	require.Len(t, r.All(), 1)
 	r.Retain(func(string) bool { return false })
 	require.Empty(t, r.All())
-	require.True(t, r.Allows(e, now))
+	require.Zero(t, r.Wait(e, now))
 }
 
 // BenchmarkLimitedEndpoints measures the limits of one request with 100 endpoints to choose
@@ -232,7 +232,7 @@
 	for b.Loop() {
 		f.now = f.now.Add(154 * time.Millisecond)
 		for _, e := range endpoints {
-			r.Allows(e, f.now)
+			r.Wait(e, f.now)
 		}
 	}
 }
--- a/route/tracker.go
+++ b/route/tracker.go
@@ -25,8 +25,11 @@
 	// MaxRunning is the largest number of requests that this router may have in progress there;
 	// 0 means no limit.
 	MaxRunning int
-	// Limited is true if this router's share of the endpoint's limit is used up.
-	Limited bool
+	// Tried is true if the request was sent to the endpoint before.
+	Tried bool
+	// LimitWait is how long the endpoint's limit keeps requests of this router away; 0 if it
+	// doesn't.
+	LimitWait time.Duration
 }
 
 // PromptPart is a part of a prompt. Endpoints keep the parts that they have read, so that they
@@ -91,10 +94,13 @@
 
 // rankedEndpoint is a candidate of a choice.
 type rankedEndpoint struct {
-	state *endpointState
+	option *EndpointOption
+	state  *endpointState
 	// rank orders the endpoints for the last shared part of a prompt (rendezvous
 	// hashing).
 	rank uint64
+	// available is false if an obstacle keeps the request from the endpoint now.
+	available bool
 }
 
 type endpointState struct {
@@ -150,6 +156,8 @@
 type Choice struct {
 	Endpoint       *buckthornpin.Endpoint
 	UncachedTokens int64
+	// Obstacles are what kept the request from other endpoints.
+	Obstacles Obstacles
 }
 
 // Start records that a request is sent to the chosen endpoint.
@@ -269,17 +277,6 @@
 	}
 }
 
-// PauseLeft returns for how long an endpoint wants no requests; 0 if it takes some.
-func (t *Tracker) PauseLeft(e *buckthornpin.Endpoint, now time.Time) time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s := t.endpoints[e.ID]
-	if s == nil || s.incarnation != e.Incarnation {
-		return 0
-	}
-	return max(s.pausedUntil.Sub(now), 0)
-}
-
 // Loads returns this router's work in progress by endpoint id.
 func (t *Tracker) Loads() map[string]Load {
 	t.mu.Lock()
@@ -294,22 +291,22 @@
 }
 
 // Choose returns the endpoint at which the request is expected to start first; ok is
-// false if there is none. Endpoints that failed recently come last. An endpoint with the
-// largest allowed number of requests of this router, whose limit is used up, or which wants
-// no requests, isn't chosen.
+// false if none is available, and the obstacles then say why. Endpoints that failed recently come
+// last. One whose announcements have ceased may only be cut off from control, and is the last
+// resort.
 func (t *Tracker) Choose(all []EndpointOption, w Work, zone string, now time.Time) (best Choice, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var bestCost int64
 	var bestRank uint64
-	t.rankCandidates(all, w)
+	var obstacles Obstacles
+	t.rankCandidates(all, w, now, &obstacles)
 	preferred := t.preferred(w)
-	for i, e := range all {
-		s, rank := t.candidates[i].state, t.candidates[i].rank
-		s.forgetAfterRestart(e.Endpoint)
-		if now.Before(s.pausedUntil) || e.Limited || e.MaxRunning > 0 && s.load.Running >= e.MaxRunning {
+	for i, c := range t.candidates {
+		if !c.available {
 			continue
 		}
+		e, s, rank := c.option, c.state, c.rank
 		uncached := s.expectedUncachedTokens(w, i == preferred)
 		cost := s.cost(e, w, uncached)
 		if e.Endpoint.Zone != zone {
@@ -323,6 +320,7 @@
 			best, bestCost, bestRank, ok = Choice{Endpoint: e.Endpoint, UncachedTokens: uncached}, cost, rank, true
 		}
 	}
+	best.Obstacles = obstacles
 	return best, ok
 }
 
@@ -341,7 +339,7 @@
 
 // cost returns the work ahead of the request at an endpoint plus its own, in prompt
 // tokens.
-func (s *endpointState) cost(e EndpointOption, w Work, uncached int64) int64 {
+func (s *endpointState) cost(e *EndpointOption, w Work, uncached int64) int64 {
 	running := int64(s.load.Running + e.LoadFromOthers.Running)
 	if !w.ModelEngine {
 		return running * plainRequestTokens / int64(max(e.Endpoint.Capacity, 1))
@@ -373,15 +371,40 @@
 	return preferred
 }
 
-// rankCandidates fills candidates for a choice. The caller holds mu.
-func (t *Tracker) rankCandidates(all []EndpointOption, w Work) {
+// rankCandidates fills candidates for a choice with the endpoints to which the request hasn't
+// been sent and that may still take work, and counts the others as obstacles. The caller holds mu.
+func (t *Tracker) rankCandidates(all []EndpointOption, w Work, now time.Time, obstacles *Obstacles) {
 	partHash := uint64(0)
 	if n := len(w.PromptParts); n > 1 {
 		partHash = xxhash.Sum64String(w.PromptParts[n-2].ID)
 	}
+	takeSilent := allSilent(all)
 	t.candidates = t.candidates[:0]
-	for _, e := range all {
+	for i := range all {
+		e := &all[i]
 		s := t.state(e.Endpoint.ID)
-		t.candidates = append(t.candidates, rankedEndpoint{state: s, rank: mix(partHash ^ s.hash)})
+		s.forgetAfterRestart(e.Endpoint)
+		signals := Signals{
+			Endpoint: e.Endpoint, Tried: e.Tried, TakeSilent: takeSilent, PausedUntil: s.pausedUntil, LimitWait: e.LimitWait,
+			Full: e.MaxRunning > 0 && s.load.Running >= e.MaxRunning,
+		}
+		a := signals.Availability(now)
+		if a.Obstacle != NoObstacle {
+			obstacles.add(a)
+		}
+		if !e.Endpoint.Leaving && !e.Tried && (takeSilent || !e.Endpoint.Dead) {
+			t.candidates = append(t.candidates, rankedEndpoint{option: e, state: s, rank: mix(partHash ^ s.hash), available: a.Obstacle == NoObstacle})
+		}
+	}
+}
+
+// allSilent reports whether none of the endpoints that could be asked has announced itself
+// recently.
+func allSilent(all []EndpointOption) bool {
+	for i := range all {
+		if e := &all[i]; !e.Endpoint.Leaving && !e.Tried && !e.Endpoint.Dead {
+			return false
+		}
 	}
+	return true
 }
--- a/router/slots.go
+++ b/router/slots.go
@@ -146,7 +146,7 @@
 	s.scratch = s.scratch[:0]
 	now := s.now()
 	for _, e := range s.directory.Serving(target) {
-		c := route.Candidate{Endpoint: e, Tried: tried[e.ID], Limited: !s.limits.Allows(e, now)}
+		c := route.Candidate{Endpoint: e, Tried: tried[e.ID], LimitWait: s.limits.Wait(e, now)}
 		if l := s.loads[e.ID]; l != nil {
 			c.InFlight, c.OpenUntil = l.inFlight, l.openUntil
 		}
