Endpoints of our own interface can ask for a pause

It is one more signal of the one place that decides; Choose says when the first obstacle ends, so that requests that all endpoints put off are refused at once with that time.

--- a/app/process.go
+++ b/app/process.go
@@ -244,6 +244,7 @@
 	p.gossip.Limits.Fleet = func(time.Time) route.Fleet { return route.Fleet{Self: s.Peer.Address, Others: p.mirror.Peers()} }
 	p.gossip.Limits.Changed = func(l route.RateLimit, heard bool) { logLimit(p.Log, l, heard) }
 	endpoints.ObserveLimit = p.router.ObserveLimit
+	endpoints.ObservePause = p.router.ObservePause
 	p.gossip.HoldsKey = p.router.Holds
 	p.gossip.Answer = p.router.Answer
 	p.callerServer = &caller.Server{
--- a/app/standin_command.go
+++ b/app/standin_command.go
@@ -20,7 +20,7 @@
 	id, zone, address, advertise, routers, models, adapters, services, secretFile string
 	capacity                                                                      int
 	limit                                                                         float64
-	pace                                                                          time.Duration
+	pace, pause                                                                   time.Duration
 }
 
 // Name implements subcommands.Command.
@@ -54,6 +54,7 @@
 	f.StringVar(&c.services, "services", "", "plain services, comma separated")
 	f.StringVar(&c.secretFile, "secret-file", "", "file with the secret shared with routers")
 	f.IntVar(&c.capacity, "capacity", 64, "requests that run at once")
+	f.DurationVar(&c.pause, "pause", 0, "for how long to want no requests from a router after turning one away; 0 asks for no pause")
 	f.Float64Var(&c.limit, "request-limit", 0, "requests a second to name as the limit of all routers together; 0 names none")
 	f.DurationVar(&c.pace, "pace", stand.DefaultTokenInterval, "time between tokens")
 }
@@ -76,7 +77,7 @@
 		return c.fail(ExitFailed, err)
 	}
 	e := &stand.Endpoint{
-		ID: c.id, Zone: c.zone, Models: splitList(c.models), Adapters: splitList(c.adapters), Services: splitList(c.services), Capacity: c.capacity, TokenInterval: c.pace, RequestLimit: c.limit,
+		ID: c.id, Zone: c.zone, Models: splitList(c.models), Adapters: splitList(c.adapters), Services: splitList(c.services), Capacity: c.capacity, TokenInterval: c.pace, RequestLimit: c.limit, Pause: c.pause,
 		Routers: splitList(c.routers), Secret: secret, Listener: l, AdvertisedAddress: c.advertise, Crash: func() { os.Exit(int(ExitFailed)) },
 	}
 	_, _ = fmt.Fprintf(c.Out, "%s serves on %s\n", c.id, l.Addr())
--- a/endpt/client.go
+++ b/endpt/client.go
@@ -57,6 +57,9 @@
 	// ObserveLimit is called with what each answer says of its endpoint's limit, and when
 	// its request was sent; nil if limits aren't kept.
 	ObserveLimit func(a Attempt, l buckthornpin.StatedLimit, sentAt time.Time)
+	// ObservePause is called with each pause that an endpoint asks for as it turns an attempt
+	// away; nil if pauses aren't kept.
+	ObservePause func(a Attempt, p buckthornpin.StatedPause)
 }
 
 // Chat sends an attempt to a model engine and returns the stream of its answer. The
@@ -125,9 +128,22 @@
 	if c.ObserveLimit != nil && (l.Stated || res.Header.Get(NotRunHeader) == "") {
 		c.ObserveLimit(a, l, sentAt)
 	}
+	c.observePause(res, a)
 	return res, checkStatus(res, a)
 }
 
+// observePause passes on the pause that an endpoint asks for. A plain service's own 503 is an
+// answer to the caller, and so is its Retry-After.
+func (c *Client) observePause(res *http.Response, a Attempt) {
+	if c.ObservePause == nil || res.StatusCode != http.StatusServiceUnavailable || res.Header.Get(NotRunHeader) == "" {
+		return
+	}
+	p := buckthornpin.ParseStatedPause(res.Header.Get("Retry-After"), res.Header.Get("Date"), time.Now())
+	if p != (buckthornpin.StatedPause{}) {
+		c.ObservePause(a, p)
+	}
+}
+
 // client returns the HTTP client for an attempt. A non-idempotent request gets a new
 // connection, since a pooled one may have failed without being noticed.
 func (c *Client) client(a Attempt) *http.Client {
--- a/integ/site_test.go
+++ b/integ/site_test.go
@@ -52,6 +52,7 @@
 	callerKeys        map[string]string
 	adjustSettings    func(*config.Settings)
 	requestLimit      float64
+	engineArgs        []string
 	offline           map[string]bool
 }
 
@@ -63,6 +64,8 @@
 	// requestLimit is the requests a second that each engine names as its limit; 0 names
 	// none.
 	requestLimit float64
+	// engineArgs are further arguments of each engine.
+	engineArgs []string
 	// direct makes the endpoints announce their own addresses instead of a proxy's.
 	direct bool
 }
@@ -72,7 +75,7 @@
 	t.Helper()
 	s := &site{
 		t: t, folder: t.TempDir(), vms: map[string]*vm{}, links: map[[2]string]*link{}, callerKeys: map[string]string{},
-		adjustSettings: p.adjustSettings, requestLimit: p.requestLimit, offline: map[string]bool{},
+		adjustSettings: p.adjustSettings, requestLimit: p.requestLimit, engineArgs: p.engineArgs, offline: map[string]bool{},
 	}
 	t.Cleanup(s.stopAll)
 	addresses := s.addresses(p)
@@ -234,6 +237,7 @@
 	args := []string{"standin", "-id", name, "-routers", strings.Join(s.announceAddresses, ","), "-zone", fmt.Sprintf("zone-%d", i%4+1)}
 	if engine {
 		args = append(args, "-models", modelName, "-request-limit", strconv.FormatFloat(s.requestLimit, 'f', -1, 64))
+		args = append(args, s.engineArgs...)
 	} else {
 		args = append(args, "-services", serviceName)
 	}
--- a/route/choose.go
+++ b/route/choose.go
@@ -53,6 +53,15 @@
 	Paused
 )
 
+// Outcome is the result of Choose.
+type Outcome struct {
+	// Index is the index of the chosen candidate; -1 if none was chosen.
+	Index   int
+	Verdict Verdict
+	// FirstEnd is when the first obstacle to the request ends; zero if that isn't known.
+	FirstEnd time.Time
+}
+
 const (
 	// fullLoad is the load of a full endpoint in a score. It sets the score's resolution.
 	fullLoad = 1 << 10
@@ -63,10 +72,9 @@
 	triedPenalty = 1 << 30
 )
 
-// Choose returns the index of the least loaded candidate that can run the request, or -1
-// and the reason. It prefers candidates in the router's zone if the load is nearly equal, and
+// Choose chooses the least loaded candidate that can run the request. It prefers candidates in the router's zone if the load is nearly equal, and
 // returns a tried candidate only if there is no other.
-func Choose(cs []Candidate, q Query) (int, Verdict) {
+func Choose(cs []Candidate, q Query) Outcome {
 	best, bestScore := -1, 0
 	var obstacles Obstacles
 	for i := range cs {
@@ -83,17 +91,18 @@
 			best, bestScore = i, s
 		}
 	}
+	out := Outcome{Index: best, Verdict: Unserved, FirstEnd: obstacles.FirstEnd}
 	switch {
 	case best >= 0:
-		return best, Chosen
+		out.Verdict = Chosen
 	case obstacles.Count(ObstacleFull) > 0:
-		return -1, Busy
+		out.Verdict = Busy
 	case obstacles.Count(ObstacleLimited) > 0:
-		return -1, Limited
+		out.Verdict = Limited
 	case obstacles.Count(ObstaclePaused) > 0:
-		return -1, Paused
+		out.Verdict = Paused
 	}
-	return -1, Unserved
+	return out
 }
 
 // availability leaves Tried out of the signals: a tried candidate is the last resort.
--- a/route/choose_test.go
+++ b/route/choose_test.go
@@ -29,6 +29,10 @@
 	tried := candidate("tried", "z1", 0)
 	tried.Tried = true
 	denied := candidate("denied", "z1", 0)
+	paused := candidate("paused", "z1", 0)
+	paused.PausedUntil = now.Add(time.Second)
+	limited := candidate("limited", "z1", 0)
+	limited.LimitWait = time.Second
 	scenarios := []struct {
 		description string
 		candidates  []Candidate
@@ -41,15 +45,18 @@
 		{"another zone if the router's zone is loaded", []Candidate{candidate("a", "z2", 0), candidate("b", "z1", 8)}, "a", Chosen},
 		{"no full endpoint", []Candidate{candidate("a", "z1", 10)}, "", Busy},
 		{"no leaving, dead, failing or denied endpoint", []Candidate{leaving, dead, open, denied}, "", Unserved},
+		{"no endpoint that wants a pause", []Candidate{paused, leaving}, "", Paused},
+		{"no endpoint whose limit is used up", []Candidate{paused, limited}, "", Limited},
+		{"another endpoint than the one that wants a pause", []Candidate{paused, candidate("b", "z2", 9)}, "b", Chosen},
 		{"a tried endpoint only as the last resort", []Candidate{tried, candidate("b", "z2", 9)}, "b", Chosen},
 		{"a tried endpoint if there is no other", []Candidate{tried}, "tried", Chosen},
 	}
 	for _, s := range scenarios {
 		t.Run(s.description, func(t *testing.T) {
-			i, verdict := Choose(s.candidates, Query{Target: buckthornpin.Target{Model: "m"}, Zone: "z1", Now: now, Denied: []string{"denied"}})
-			require.Equal(t, s.verdict, verdict)
+			got := Choose(s.candidates, Query{Target: buckthornpin.Target{Model: "m"}, Zone: "z1", Now: now, Denied: []string{"denied"}})
+			require.Equal(t, s.verdict, got.Verdict)
 			if s.want != "" {
-				require.Equal(t, s.want, s.candidates[i].Endpoint.ID)
+				require.Equal(t, s.want, s.candidates[got.Index].Endpoint.ID)
 			}
 		})
 	}
--- a/router/flight.go
+++ b/router/flight.go
@@ -139,9 +139,9 @@
 	}
 	var lastErr error
 	for f.attempts < f.router.MaxAttempts {
-		s, verdict := f.router.slots.acquire(ctx, f.request, f.tried)
-		if verdict != route.Chosen {
-			return f.noSlotRefusal(ctx, verdict, lastErr)
+		s, outcome := f.router.slots.acquire(ctx, f.request, f.tried)
+		if outcome.Verdict != route.Chosen {
+			return f.noSlotRefusal(ctx, outcome, lastErr)
 		}
 		f.attempts++
 		lastErr = f.attempt(ctx, s)
@@ -315,14 +315,17 @@
 }
 
 // noSlotRefusal returns the refusal for a request that got no slot on any endpoint.
-func (f *flight) noSlotRefusal(ctx context.Context, v route.Verdict, lastErr error) *buckthornpin.Refusal {
+func (f *flight) noSlotRefusal(ctx context.Context, o route.Outcome, lastErr error) *buckthornpin.Refusal {
 	if f.mayHaveRun && ctx.Err() != nil {
 		return f.stoppedRefusal(ctx)
 	}
-	if v == route.Limited {
-		return unknownOutcome(CodeOverload, "the limits that the endpoints have named are used up", retrySoon)
+	if o.Verdict == route.Limited {
+		return unknownOutcome(CodeOverload, "the limits that the endpoints have named are used up", retryAfterObstacle(o))
 	}
-	if v == route.Busy {
+	if o.Verdict == route.Paused {
+		return unknownOutcome(CodeOverload, "the endpoints want no requests for a time", retryAfterObstacle(o))
+	}
+	if o.Verdict == route.Busy {
 		return unknownOutcome(CodeOverload, "all endpoints are busy", retrySoon)
 	}
 	if lastErr != nil {
@@ -331,6 +334,14 @@
 	return unknownOutcome(CodeNoEndpoint, "no endpoint serves "+f.request.Target.Name(), retrySoon)
 }
 
+// retryAfterObstacle returns the wait until the first obstacle ends, as far as that is known.
+func retryAfterObstacle(o route.Outcome) time.Duration {
+	if o.FirstEnd.IsZero() {
+		return retrySoon
+	}
+	return max(time.Until(o.FirstEnd), 0)
+}
+
 // stoppedRefusal returns the refusal for a request whose context has ended.
 func (f *flight) stoppedRefusal(ctx context.Context) *buckthornpin.Refusal {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
--- a/router/slots.go
+++ b/router/slots.go
@@ -50,6 +50,9 @@
 	inFlight  int
 	failures  int
 	openUntil time.Time
+	// pausedUntil is the time until which an incarnation of the endpoint wants no requests.
+	pausedUntil       time.Time
+	pausedIncarnation int64
 }
 
 // slot is the right to run one request on an endpoint. It must be released exactly once.
@@ -69,39 +72,50 @@
 	granted  chan slot
 }
 
-// acquire returns a slot for the request, or a verdict that says why there is none. It
-// waits for a slot until ctx ends, unless the queue is full.
-func (s *slots) acquire(ctx context.Context, r buckthornpin.Request, tried map[string]bool) (slot, route.Verdict) {
+// pause records that an endpoint wants no requests until a time. Of several such times, the
+// latest counts.
+func (s *slots) pause(e *buckthornpin.Endpoint, until time.Time) {
 	s.mu.Lock()
-	got, verdict := s.chooseEndpoint(r.Target, tried)
-	if verdict == route.Chosen || verdict == route.Limited || len(s.waiting) >= s.maxQueue {
+	defer s.mu.Unlock()
+	l := s.loadOf(e.ID)
+	if l.pausedIncarnation != e.Incarnation || until.After(l.pausedUntil) {
+		l.pausedIncarnation, l.pausedUntil = e.Incarnation, until
+	}
+}
+
+// acquire returns a slot for the request, or the outcome of the choice that says why there is
+// none. It waits for a slot until ctx ends, unless the queue is full or waiting can't help.
+func (s *slots) acquire(ctx context.Context, r buckthornpin.Request, tried map[string]bool) (slot, route.Outcome) {
+	s.mu.Lock()
+	got, outcome := s.chooseEndpoint(r.Target, tried)
+	if outcome.Verdict == route.Chosen || outcome.Verdict == route.Limited || outcome.Verdict == route.Paused || len(s.waiting) >= s.maxQueue {
 		s.mu.Unlock()
-		return got, verdict
+		return got, outcome
 	}
 	s.seed++
 	w := &waiter{target: r.Target, tried: tried, priority: r.Priority, deadline: r.Deadline, arrival: s.seed, granted: make(chan slot, 1)}
 	heap.Push(&s.waiting, w)
 	s.mu.Unlock()
-	return s.wait(ctx, w, verdict)
+	return s.wait(ctx, w, outcome)
 }
 
-func (s *slots) wait(ctx context.Context, w *waiter, verdict route.Verdict) (slot, route.Verdict) {
+func (s *slots) wait(ctx context.Context, w *waiter, outcome route.Outcome) (slot, route.Outcome) {
 	check := time.NewTicker(queueCheckInterval)
 	defer check.Stop()
 	for {
 		select {
 		case got := <-w.granted:
-			return got, route.Chosen
+			return got, route.Outcome{Verdict: route.Chosen}
 		case <-check.C:
 			s.grant()
 		case <-ctx.Done():
-			return s.leave(w, verdict)
+			return s.leave(w, outcome)
 		}
 	}
 }
 
 // leave removes the waiter from the queue and releases a slot that was granted meanwhile.
-func (s *slots) leave(w *waiter, verdict route.Verdict) (slot, route.Verdict) {
+func (s *slots) leave(w *waiter, outcome route.Outcome) (slot, route.Outcome) {
 	s.mu.Lock()
 	if w.index >= 0 {
 		heap.Remove(&s.waiting, w.index)
@@ -112,7 +126,7 @@
 		got.release(true)
 	default:
 	}
-	return slot{}, verdict
+	return slot{}, outcome
 }
 
 // grant gives free slots to waiting requests.
@@ -127,8 +141,8 @@
 			stillWaiting = append(stillWaiting, w)
 			continue
 		}
-		got, verdict := s.chooseEndpoint(w.target, w.tried)
-		if verdict != route.Chosen {
+		got, outcome := s.chooseEndpoint(w.target, w.tried)
+		if outcome.Verdict != route.Chosen {
 			full[w.target] = true
 			stillWaiting = append(stillWaiting, w)
 			continue
@@ -141,7 +155,7 @@
 }
 
 // chooseEndpoint chooses an endpoint and counts the request on it. The caller holds mu.
-func (s *slots) chooseEndpoint(target buckthornpin.Target, tried map[string]bool) (slot, route.Verdict) {
+func (s *slots) chooseEndpoint(target buckthornpin.Target, tried map[string]bool) (slot, route.Outcome) {
 	s.seed++
 	s.scratch = s.scratch[:0]
 	now := s.now()
@@ -149,19 +163,22 @@
 		c := route.Candidate{Endpoint: e, Tried: tried[e.ID], LimitWait: s.limits.Wait(e, now)}
 		if l := s.loads[e.ID]; l != nil {
 			c.InFlight, c.OpenUntil = l.inFlight, l.openUntil
+			if l.pausedIncarnation == e.Incarnation {
+				c.PausedUntil = l.pausedUntil
+			}
 		}
 		s.scratch = append(s.scratch, c)
 	}
-	i, verdict := route.Choose(s.scratch, route.Query{
+	outcome := route.Choose(s.scratch, route.Query{
 		Target: target, Zone: s.zone, Now: now, Denied: s.denied(), Seed: s.seed,
 	})
-	if verdict != route.Chosen {
-		return slot{}, verdict
+	if outcome.Verdict != route.Chosen {
+		return slot{}, outcome
 	}
-	e := s.scratch[i].Endpoint
+	e := s.scratch[outcome.Index].Endpoint
 	s.limits.CountRequest(e, now)
 	s.loadOf(e.ID).inFlight++
-	return slot{endpoint: e, pool: s}, verdict
+	return slot{endpoint: e, pool: s}, outcome
 }
 
 // loadOf returns the load of an endpoint, creating it if it is missing. The caller holds mu.
--- a/stand/endpoint.go
+++ b/stand/endpoint.go
@@ -49,6 +49,9 @@
 	// RequestLimit is the requests a second that the endpoint names as its limit in its
 	// answers; 0 names none.
 	RequestLimit float64
+	// Pause is for how long the endpoint wants no requests from a router after it has turned
+	// one away because it is full; 0 asks for no pause.
+	Pause time.Duration
 	// Routers lists the addresses of the routers to announce to at first; more are learned
 	// from their replies.
 	Routers []string
@@ -127,6 +130,9 @@
 		replyNotRun(w, endpt.LeavingHeader)
 	case e.running.Add(1) > int64(e.Capacity):
 		e.running.Add(-1)
+		if e.Pause > 0 {
+			w.Header().Set("Retry-After", strconv.FormatFloat(e.Pause.Seconds(), 'f', -1, 64))
+		}
 		replyNotRun(w, "")
 	default:
 		defer e.running.Add(-1)
