Endpoints of our own interface: any answer may say that its endpoint leaves

One observer of answers now marks the incarnation as leaving.

Failed before: TestAnyAnswerSaysThatItsEndpointLeaves, both for a complete answer (nothing observed) and for a 500 (leaving instead of broken).

--- a/app/process.go
+++ b/app/process.go
@@ -245,6 +245,7 @@
 	p.gossip.Limits.Changed = func(l route.RateLimit, heard bool) { logLimit(p.Log, l, heard) }
 	endpoints.ObserveLimit = p.router.ObserveLimit
 	endpoints.ObservePause = p.router.ObservePause
+	endpoints.ObserveLeaving = p.router.ObserveLeaving
 	p.gossip.HoldsKey = p.router.Holds
 	p.gossip.Answer = p.router.Answer
 	p.callerServer = &caller.Server{
--- a/endpt/client.go
+++ b/endpt/client.go
@@ -60,6 +60,9 @@
 	// ObservePause is called with each pause that an endpoint asks for as it turns an attempt
 	// away; nil if pauses aren't kept.
 	ObservePause func(a Attempt, p buckthornpin.StatedPause)
+	// ObserveLeaving is called if an answer says that its endpoint takes no new work; nil
+	// ignores that. The answer itself counts.
+	ObserveLeaving func(a Attempt)
 }
 
 // Chat sends an attempt to a model engine and returns the stream of its answer. The
@@ -129,6 +132,9 @@
 		c.ObserveLimit(a, l, sentAt)
 	}
 	c.observePause(res, a)
+	if c.ObserveLeaving != nil && res.Header.Get(LeavingHeader) != "" {
+		c.ObserveLeaving(a)
+	}
 	return res, checkStatus(res, a)
 }
 
@@ -177,7 +183,7 @@
 	_ = res.Body.Close()
 	err := errors.Errorf("endpoint %s: status %d: %s", a.Endpoint.ID, res.StatusCode, bytes.TrimSpace(body))
 	switch {
-	case res.Header.Get(LeavingHeader) != "":
+	case res.Header.Get(NotRunHeader) != "" && res.Header.Get(LeavingHeader) != "":
 		return &Error{Op: "run", Kind: KindLeaving, Err: err}
 	case res.Header.Get(NotRunHeader) != "":
 		return &Error{Op: "run", Kind: KindRefused, Err: err}
--- a/router/flight.go
+++ b/router/flight.go
@@ -181,9 +181,6 @@
 	}
 	err := f.exchange(ctx, a)
 	f.noteMayHaveRun(err)
-	if isKind(err, endpt.KindLeaving) {
-		f.router.Directory.MarkLeaving(a.Endpoint.ID, a.Endpoint.Incarnation)
-	}
 	healthy := err == nil || ctx.Err() != nil || isKind(err, endpt.KindRejected) || isKind(err, endpt.KindLeaving)
 	s.release(healthy)
 	return err
--- a/router/limits.go
+++ b/router/limits.go
@@ -26,3 +26,8 @@
 	r.slots.pause(&a.Endpoint, time.Now().Add(p.For))
 	l.Dur("for_ms", p.For).Msg("endpoint wants no requests for a time")
 }
+
+// ObserveLeaving records that an endpoint takes no new work in this incarnation.
+func (r *Router) ObserveLeaving(a endpt.Attempt) {
+	r.Directory.MarkLeaving(a.Endpoint.ID, a.Endpoint.Incarnation)
+}
