--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -134,8 +134,7 @@
 	}
 	buffer := buffered{all: &f.router.buffers}
 	defer buffer.release()
-	body, err := buffer.readAll(a.Body)
-	if err != nil {
+	if err := buffer.readAll(a.Body); err != nil {
 		f.router.tracker.RecordFailure(e.ID, time.Now())
 		f.log("broken").Str("endpoint", e.ID).Err(err).Msg("answer broke off")
 		if !f.route.Repeatable() {
@@ -146,10 +145,12 @@
 	f.firstPartAt = time.Now()
 	onBegin()
 	f.recordAnswer(e, a)
-	f.reply.Begin(a.Status, a.Header, int64(len(body)))
-	if err := f.reply.Write(body); err != nil {
-		f.finish("caller_gone", e)
-		return true
+	f.reply.Begin(a.Status, a.Header, buffer.length)
+	for _, chunk := range buffer.chunks {
+		if err := f.reply.Write(chunk); err != nil {
+			f.finish("caller_gone", e)
+			return true
+		}
 	}
 	f.finish("answered", e)
 	return true
--- a/relay/buffers.go
+++ b/relay/buffers.go
@@ -13,8 +13,10 @@
 	// maxBufferedBytes bounds the memory of all answers that are read before they are
 	// forwarded.
 	maxBufferedBytes = 2 * maxPlainBytes
-	// firstBufferBytes is the first size of a buffer; it doubles as it fills up.
-	firstBufferBytes = 4 << 10
+	// firstChunkBytes is the size of the first chunk of an answer, most of which are small. Each
+	// further one is twice as long, up to maxChunkBytes.
+	firstChunkBytes = 4 << 10
+	maxChunkBytes   = 256 << 10
 )
 
 var (
@@ -37,36 +39,39 @@
 	return false
 }
 
-// buffered is the memory of one answer.
+// buffered is the memory of one answer. It is kept in chunks, since a buffer that is copied as it
+// grows takes half as much again.
 type buffered struct {
-	all  *buffers
-	size int64
+	all    *buffers
+	chunks [][]byte
+	// size is the memory of the chunks, length the part of it that is filled, in bytes.
+	size, length int64
 }
 
 // readAll reads an answer to its end.
-func (b *buffered) readAll(r io.Reader) ([]byte, error) {
-	var data []byte
+func (b *buffered) readAll(r io.Reader) error {
+	var chunk []byte
 	for {
-		if len(data) == cap(data) {
-			if len(data) > maxPlainBytes {
-				return nil, errAnswerTooLong
+		if len(chunk) == cap(chunk) {
+			next := int64(min(max(2*cap(chunk), firstChunkBytes), maxChunkBytes))
+			if !b.all.take(next) {
+				return errBuffersFull
 			}
-			next := min(max(2*cap(data), firstBufferBytes), maxPlainBytes+1)
-			if !b.all.take(int64(next) - b.size) {
-				return nil, errBuffersFull
-			}
-			b.size = int64(next)
-			data = append(make([]byte, 0, next), data...)
+			b.size += next
+			chunk = make([]byte, 0, next)
+			b.chunks = append(b.chunks, nil)
 		}
-		n, err := r.Read(data[len(data):cap(data)])
-		data = data[:len(data)+n]
+		n, err := r.Read(chunk[len(chunk):cap(chunk)])
+		chunk = chunk[:len(chunk)+n]
+		b.chunks[len(b.chunks)-1] = chunk
+		b.length += int64(n)
 		switch {
-		case len(data) > maxPlainBytes:
-			return nil, errAnswerTooLong
+		case b.length > maxPlainBytes:
+			return errAnswerTooLong
 		case err == io.EOF:
-			return data, nil
+			return nil
 		case err != nil:
-			return nil, err
+			return err
 		}
 	}
 }
@@ -74,5 +79,5 @@
 // release gives the memory back.
 func (b *buffered) release() {
 	b.all.used.Add(-b.size)
-	b.size = 0
+	b.chunks, b.size, b.length = nil, 0, 0
 }
--- a/relay/endless_test.go
+++ b/relay/endless_test.go
@@ -1,8 +1,10 @@
 package relay
 
 import (
+	"bytes"
 	"io"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -72,7 +74,7 @@
 	var held []*buffered
 	for {
 		part := &buffered{all: &b}
-		if _, err := part.readAll(io.LimitReader(&endlessBody{}, maxPlainBytes)); err != nil {
+		if err := part.readAll(io.LimitReader(&endlessBody{}, maxPlainBytes)); err != nil {
 			break
 		}
 		held = append(held, part)
@@ -83,7 +85,20 @@
 		part.release()
 	}
 	part := &buffered{all: &b}
-	data, err := part.readAll(strings.NewReader("ok"))
-	require.NoError(t, err)
-	require.Equal(t, "ok", string(data))
+	require.NoError(t, part.readAll(strings.NewReader("ok")))
+	require.Equal(t, "ok", string(bytes.Join(part.chunks, nil)))
+}
+
+// TestLargeAnswerTakesItsSize guards against a router that runs out of memory because a long
+// answer is copied as it is read: what it takes is bounded by its size.
+func TestLargeAnswerTakesItsSize(t *testing.T) {
+	var before, after runtime.MemStats
+	part := &buffered{all: &buffers{}}
+	body := io.LimitReader(&endlessBody{}, maxPlainBytes)
+	runtime.ReadMemStats(&before)
+	require.NoError(t, part.readAll(body))
+	runtime.ReadMemStats(&after)
+	require.Equal(t, int64(maxPlainBytes), part.length)
+	require.LessOrEqual(t, after.TotalAlloc-before.TotalAlloc, uint64(maxPlainBytes*5/4))
+	require.LessOrEqual(t, part.size, int64(maxPlainBytes+maxChunkBytes))
 }
