Stopping: our own interface closes kept connections with an answer too

The same cause as on the platform's interface: a stop closed idle connections when the drain delay had passed, without a word to callers that use them. From the start of the drain each answer now asks for the end of its connection.

--- a/app/process.go
+++ b/app/process.go
@@ -75,6 +75,7 @@
 	leases           *budget.LeaseManager
 	router           *router.Router
 	callerServer     *caller.Server
+	callerHandler    conn.ClosingHandler
 	operatorServer   *oper.Server
 	announcements    *endpt.AnnouncementServer
 	incarnation      atomic.Int64
--- a/app/run.go
+++ b/app/run.go
@@ -49,6 +49,7 @@
 	if p.router == nil {
 		return
 	}
+	p.callerHandler.StartClosing()
 	buckthornpin.Wait(ctx, time.Duration(p.Settings.Balancer.DrainDelay))
 	p.refusingRequests.Store(true)
 	done := make(chan struct{})
@@ -90,12 +91,13 @@
 	if err != nil {
 		return nil, err
 	}
+	p.callerHandler.Handler = callers
 	announcements, err := p.announcements.Handler()
 	if err != nil {
 		return nil, err
 	}
 	return append(tasks, task{"register", p.register}, task{"gossip", p.gossip.Run}, task{"purse", p.leases.Run},
-		p.serve("caller", p.Listeners.Caller, callers, p.serverTLS(false), p.Settings.Caller.MaxConnections),
+		p.serve("caller", p.Listeners.Caller, &p.callerHandler, p.serverTLS(false), p.Settings.Caller.MaxConnections),
 		p.serve("endpt", p.Listeners.Endpt, announcements, nil, 0),
 		p.serveInternal("peer", p.Listeners.Peer, p.connectMux(p.gossip.Register))), nil
 }
