Shares: borrow ahead, and by older balances, while control is silent

Cause: with 86 routers each tells three random ones of its balances every 0.4 s, so that a router has heard of some 20 in the 3 s in which a balance counts, and it borrowed only what lacked, one transfer for each request.

While control is silent a router borrows a second of demand more, and asks by balances up to the horizon old, after the recent ones.

--- a/budget/borrow.go
+++ b/budget/borrow.go
@@ -75,7 +75,7 @@
 		if shortfall <= 0 || ctx.Err() != nil {
 			return
 		}
-		m.borrow(ctx, organisation, s, l.address, shortfall)
+		m.borrow(ctx, organisation, s, l.address, shortfall+m.expectedDemand(s))
 	}
 	if m.shortfall(s) > 0 {
 		<-answered
@@ -87,7 +87,7 @@
 func (m *ShareManager) askControl(ctx context.Context, organisation string) <-chan struct{} {
 	ended := make(chan struct{})
 	m.mu.Lock()
-	silent := !m.unansweredSince.IsZero() && time.Since(m.unansweredSince) > urgentTimeout
+	silent := m.controlIsSilent()
 	m.mu.Unlock()
 	if silent {
 		close(ended)
@@ -109,6 +109,12 @@
 	return min(time.Until(deadline)/controlWaitDivisor, urgentTimeout)
 }
 
+// controlIsSilent reports whether control has left a report unanswered for some time. The caller
+// holds mu.
+func (m *ShareManager) controlIsSilent() bool {
+	return !m.unansweredSince.IsZero() && time.Since(m.unansweredSince) > urgentTimeout
+}
+
 // shortfall returns the number of tokens that the waiting requests need beyond those
 // that are available.
 func (m *ShareManager) shortfall(s *share) int64 {
@@ -117,11 +123,27 @@
 	return s.waiting - s.available(time.Now())
 }
 
-// lenders returns the routers to ask for tokens on behalf of one request.
+// expectedDemand returns the number of tokens to borrow beyond a shortfall. While control is
+// silent, all tokens come from other routers, and one transfer has to serve several requests.
+func (m *ShareManager) expectedDemand(s *share) int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.controlIsSilent() {
+		return 0
+	}
+	return int64(s.rate.perSecond(time.Now()) * lowBalanceTime.Seconds())
+}
+
+// lenders returns the routers to ask for tokens on behalf of one request. In a large fleet few
+// balances are recent. While control is silent, routers are asked by older ones too.
 func (m *ShareManager) lenders(s *share) []lender {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	all := s.lendersByBalance(time.Now())
+	maxAge := maxBalanceAge
+	if m.controlIsSilent() {
+		maxAge = max(m.Horizon, maxBalanceAge)
+	}
+	all := s.lendersByBalance(time.Now(), maxAge)
 	return all[:min(len(all), maxLenders)]
 }
 
--- a/budget/report.go
+++ b/budget/report.go
@@ -158,7 +158,7 @@
 		if m.closing || s.balance() >= lowBalance {
 			continue
 		}
-		if lenders := s.lendersByBalance(now); len(lenders) > 0 && lenders[0].tokens > rebalanceFactor*max(s.balance(), 1) {
+		if lenders := s.lendersByBalance(now, maxBalanceAge); len(lenders) > 0 && lenders[0].tokens > rebalanceFactor*max(s.balance(), 1) {
 			loans = append(loans, loan{name: name, s: s, from: lenders[0]})
 		}
 	}
--- a/budget/share.go
+++ b/budget/share.go
@@ -149,18 +149,28 @@
 type lender struct {
 	address string
 	tokens  int64
+	// recent is false if the balance is older than maxBalanceAge.
+	recent bool
 }
 
-// lendersByBalance returns the routers with a recent positive balance in descending
-// order of balance.
-func (s *share) lendersByBalance(now time.Time) []lender {
+// lendersByBalance returns the routers with a positive balance that is no older than maxAge:
+// first those whose balance is recent, then the others, each in descending order of balance.
+func (s *share) lendersByBalance(now time.Time, maxAge time.Duration) []lender {
 	var out []lender
 	for address, p := range s.peers {
-		if p.tokens > 0 && now.Sub(p.at) <= maxBalanceAge {
-			out = append(out, lender{address: address, tokens: p.tokens})
+		if age := now.Sub(p.at); p.tokens > 0 && age <= maxAge {
+			out = append(out, lender{address: address, tokens: p.tokens, recent: age <= maxBalanceAge})
 		}
 	}
-	slices.SortFunc(out, func(a, b lender) int { return cmp.Compare(b.tokens, a.tokens) })
+	slices.SortFunc(out, func(a, b lender) int {
+		switch {
+		case a.recent == b.recent:
+			return cmp.Compare(b.tokens, a.tokens)
+		case a.recent:
+			return -1
+		}
+		return 1
+	})
 	return out
 }
 
