--- a/budget/borrow.go
+++ b/budget/borrow.go
@@ -48,18 +48,10 @@
 	return buckthornpin.BudgetSpent
 }
 
-// acquire asks control for tokens, and then the other routers in descending order of
-// balance. It has failed if they don't cover a request of the given tokens.
+// acquire asks control for tokens, and then the other routers. It has failed if they don't
+// cover a request of the given tokens.
 func (m *ShareManager) acquire(ctx context.Context, organisation string, s *share, tokens int64) {
-	defer func() {
-		m.mu.Lock()
-		s.acquiring = false
-		if s.available(time.Now()) < tokens {
-			s.failedAt = time.Now()
-		}
-		s.notifyWaiters()
-		m.mu.Unlock()
-	}()
+	defer m.endAcquisition(s, tokens)
 	reportCtx, cancel := context.WithTimeout(ctx, urgentTimeout)
 	answered := m.askControl(reportCtx, organisation)
 	defer func() {
@@ -70,6 +62,25 @@
 	case <-answered:
 	case <-time.After(controlWait(ctx)):
 	}
+	m.borrowShortfall(ctx, organisation, s)
+	if m.shortfall(s) > 0 {
+		<-answered
+	}
+}
+
+// endAcquisition lets the requests that wait for tokens check again.
+func (m *ShareManager) endAcquisition(s *share, tokens int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s.acquiring = false
+	if s.available(time.Now()) < tokens {
+		s.failedAt = time.Now()
+	}
+	s.notifyWaiters()
+}
+
+// borrowShortfall asks other routers one after the other until nothing lacks.
+func (m *ShareManager) borrowShortfall(ctx context.Context, organisation string, s *share) {
 	for _, l := range m.lenders(s) {
 		shortfall := m.shortfall(s)
 		if shortfall <= 0 || ctx.Err() != nil {
@@ -77,9 +88,6 @@
 		}
 		m.borrow(ctx, organisation, s, l.address, shortfall+m.expectedDemand(s))
 	}
-	if m.shortfall(s) > 0 {
-		<-answered
-	}
 }
 
 // askControl reports a share at once, unless control has left an earlier report unanswered. The
