--- a/route/choose.go
+++ b/route/choose.go
@@ -55,7 +55,7 @@
 
 // Outcome is the result of Choose.
 type Outcome struct {
-	// Index is the index of the chosen candidate; -1 if none was chosen.
+	// Index is the index of the chosen candidate, or -1.
 	Index   int
 	Verdict Verdict
 	// FirstEnd is when the first obstacle to the request ends; zero if that isn't known.
