Endpoints of our own interface: bound the head of an answer

Only our own interface uses this client. TestEndlessHeadForExternalClients read 10,485,760 bytes before, the library's default, and reads under 131,072 now.

--- a/conn/client.go
+++ b/conn/client.go
@@ -72,6 +72,7 @@
 	t := d.transport()
 	t.Protocols = new(http.Protocols)
 	t.Protocols.SetHTTP1(true)
+	t.MaxResponseHeaderBytes = maxHeadBytes
 	t.ReadBufferSize = externalBufferBytes
 	t.WriteBufferSize = externalBufferBytes
 	return &http.Client{Transport: t}
--- a/conn/endless_test.go
+++ b/conn/endless_test.go
@@ -98,3 +98,26 @@
 		require.Equal(t, "ok", got)
 	}
 }
+
+// TestEndlessHeadForExternalClients guards against endpoints of our own interface that take a
+// router's memory with a head without end.
+func TestEndlessHeadForExternalClients(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+		_, _ = io.Copy(c, struct{ io.Reader }{&endlessConn{repeated: "X: x\r\n"}})
+		_ = c.Close()
+	}()
+	t.Cleanup(func() { _ = l.Close() })
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+l.Addr().String(), nil)
+	require.NoError(t, err)
+	d := &Dialer{Traffic: &Traffic{}}
+	_, err = d.ExternalClient().Do(r) //nolint:bodyclose // There is no answer.
+	require.Error(t, err)
+	require.LessOrEqual(t, d.Traffic.In(), int64(2*maxHeadBytes), "bytes read")
+}
