Shares: small ones have no limit in a large fleet

Cause: since shares that are no larger than the largest request are limited too. Where 72 routers divide 24 totals nearly all are, a router sees an organisation's request once in some seconds, and most requests exceed the limit and need control's answer at once.

Failed before: TestSmallShareInALargeFleetHasNoLimit.

--- a/budget/use_limit.go
+++ b/budget/use_limit.go
@@ -24,6 +24,9 @@
 	// limitReserve is the time for which a limit exceeds the demand that is expected until
 	// the next report.
 	limitReserve = ReportInterval / 2
+	// maxLimitingRouters is the number of routers up to which shares that are no larger than
+	// the largest request are limited too.
+	maxLimitingRouters = 16
 	// maxLimitAgeDivisor divides the time for which a limit holds into the age at which it is
 	// replaced although the share isn't used.
 	maxLimitAgeDivisor = 3
@@ -124,7 +127,8 @@
 // for a report. A share that is handed over isn't limited, nor one of an organisation that
 // has sent no request to any router.
 func (m *ShareManager) newLimit(s *share, now time.Time) *useLimit {
-	if m.closing || max(s.largestBound, s.account.largestBound) == 0 {
+	largest := max(s.largestBound, s.account.largestBound)
+	if m.closing || largest == 0 || s.inLargeFleet() && s.balance() <= largest {
 		return &useLimit{}
 	}
 	// Other routers may borrow the whole share within the horizon.
@@ -133,6 +137,10 @@
 	return &useLimit{tokens: s.used() + room, tokensPerSecond: int64(rate), from: now, until: now.Add(m.LimitTime)}
 }
 
+// inLargeFleet reports whether control couldn't answer a report for each request that exceeds a
+// limit. The smaller the shares, the more requests do.
+func (s *share) inLargeFleet() bool { return len(s.peers) >= maxLimitingRouters }
+
 // addLimit adds a limit, unless the use of the share isn't limited already and stays so.
 func (s *share) addLimit(l *useLimit) {
 	if l.until.IsZero() && len(s.limits) == 0 {
--- a/budget/use_limit_test.go
+++ b/budget/use_limit_test.go
@@ -282,3 +282,28 @@
 		require.LessOrEqual(t, used, s.granted-returned(c, m)+received)
 	})
 }
+
+// TestSmallShareInALargeFleetHasNoLimit guards against limits in a large fleet that nearly each
+// request exceeds, because the shares are smaller than the requests.
+func TestSmallShareInALargeFleetHasNoLimit(t *testing.T) {
+	for _, c := range []struct {
+		others  int
+		limited bool
+	}{{others: maxLimitingRouters - 1, limited: true}, {others: maxLimitingRouters, limited: false}} {
+		t.Run(fmt.Sprintf("%d other routers", c.others), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := newLimitedManager(t, newControl(testBudget), 1)
+				s := m.share("fleet")
+				for i := range c.others {
+					m.RecordBalances(fmt.Sprint("router-", i), []*wire.BalanceState{{Organisation: "fleet", Tokens: 1}})
+				}
+				s.largestBound = s.balance()
+				for range 2 {
+					m.report(context.Background(), []string{"fleet"})
+					s.largestBound = s.balance()
+				}
+				require.Equal(t, c.limited, s.available(time.Now()) < s.balance())
+			})
+		})
+	}
+}
