--- a/budget/use_limit.go
+++ b/budget/use_limit.go
@@ -125,7 +125,8 @@
 // newLimit returns a limit that allows the demand until control's next answer. What it
 // allows beyond that is lost if the process is killed, so that a large request has to wait
 // for a report. A share that is handed over isn't limited, nor one of an organisation that
-// has sent no request to any router.
+// has sent no request to any router, nor, in a large fleet, one too small for a request of the
+// largest size.
 func (m *ShareManager) newLimit(s *share, now time.Time) *useLimit {
 	largest := max(s.largestBound, s.account.largestBound)
 	if m.closing || largest == 0 || s.inLargeFleet() && s.balance() <= largest {
@@ -137,8 +138,8 @@
 	return &useLimit{tokens: s.used() + room, tokensPerSecond: int64(rate), from: now, until: now.Add(m.LimitTime)}
 }
 
-// inLargeFleet reports whether control couldn't answer a report for each request that exceeds a
-// limit. The smaller the shares, the more requests do.
+// inLargeFleet reports whether so many routers divide a total that nearly each request would
+// exceed the limit on a small share.
 func (s *share) inLargeFleet() bool { return len(s.peers) >= maxLimitingRouters }
 
 // addLimit adds a limit, unless the use of the share isn't limited already and stays so.
