--- a/budget/borrow.go
+++ b/budget/borrow.go
@@ -40,7 +40,7 @@
 }
 
 // refusal returns BudgetSpent if the whole budget is known to be too small for a
-// request, and CoveredElsewhere otherwise. The caller holds mu.
+// request, and MaybeCoveredElsewhere otherwise. The caller holds mu.
 func (m *ShareManager) refusal(s *share, tokens int64) buckthornpin.Coverage {
 	if time.Since(m.lastAnswer) > maxControlSilence || s.reserved > 0 || s.balance()+s.free+s.peerTokens() >= tokens {
 		return buckthornpin.MaybeCoveredElsewhere
--- a/budget/use_limit.go
+++ b/budget/use_limit.go
@@ -24,8 +24,8 @@
 	// limitReserve is the time for which a limit exceeds the demand that is expected until
 	// the next report.
 	limitReserve = ReportInterval / 2
-	// maxLimitingRouters is the number of routers up to which shares that are no larger than
-	// the largest request are limited too.
+	// maxLimitingRouters is the number of other routers from which on shares that are no larger
+	// than the largest request aren't limited.
 	maxLimitingRouters = 16
 	// maxLimitAgeDivisor divides the time for which a limit holds into the age at which it is
 	// replaced although the share isn't used.
--- a/budget/wallet.go
+++ b/budget/wallet.go
@@ -24,8 +24,8 @@
 	// controlWaitDivisor divides the time that a request has left into the part in which it
 	// waits for control alone. In the rest, other routers are asked.
 	controlWaitDivisor = 3
-	// maxControlSilence is the time since control's last answer after which requests
-	// no longer wait for control.
+	// maxControlSilence is the time since control's last answer after which control's view of a
+	// budget no longer decides a refusal, and a stopping router doesn't report to it first.
 	maxControlSilence = 2 * time.Second
 	// maxBalanceAge is how long a balance reported by another router is considered valid.
 	maxBalanceAge = 3 * time.Second
