--- /dev/null
+++ b/review/stand/engine.go
@@ -0,0 +1,249 @@
+//go:build review
+
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// engine is a server process, which the platform starts again some seconds after a crash.
+type engine struct {
+	world   *world
+	number  int
+	service string
+	args    []string
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	over    bool
+}
+
+// backAfter is how long a crashed engine is away: "the engine is back after some seconds".
+const backAfter = 2 * time.Second
+
+// startEngine starts a server process of a service with further arguments.
+func (w *world) startEngine(service string, controls int, args ...string) *engine {
+	e := &engine{world: w, number: len(w.engines), service: service}
+	var heads []string
+	for i := range controls {
+		heads = append(heads, w.address(w.controlIP(i), "control"))
+	}
+	e.args = append([]string{
+		engineVerb, "-address", w.address(w.engineIP(e.number), "engine"), "-service", service, "-zone", zones[e.number%len(zones)],
+		"-control", strings.Join(heads, ","), "-runs", filepath.Join(w.temp, "runs.txt"),
+	}, args...)
+	w.mu.Lock()
+	w.engines = append(w.engines, e)
+	w.mu.Unlock()
+	go e.keep()
+	return e
+}
+
+// keep runs the process and starts it again as a new boot under a new id.
+func (e *engine) keep() {
+	self, err := os.Executable()
+	must(err)
+	for boot := 1; ; boot++ {
+		id := fmt.Sprintf("i-%d-%d", e.number+1, boot)
+		e.mu.Lock()
+		if e.over {
+			e.mu.Unlock()
+			return
+		}
+		cmd := exec.Command(self, append(e.args, "-id", id)...)
+		cmd.Stderr = os.Stderr
+		must(cmd.Start())
+		e.cmd = cmd
+		e.mu.Unlock()
+		e.world.record("started server %s of %s, pid %d", id, e.service, cmd.Process.Pid)
+		_ = cmd.Wait()
+		e.mu.Lock()
+		over := e.over
+		e.mu.Unlock()
+		if over {
+			return
+		}
+		e.world.record("server %s has ended", id)
+		time.Sleep(backAfter)
+	}
+}
+
+func (e *engine) end() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.over = true
+	if e.cmd != nil {
+		_ = e.cmd.Process.Kill()
+	}
+}
+
+// run is a line of runs.txt: a server began to work on a request.
+type run struct {
+	At     int64  `json:"at"`
+	Engine string `json:"engine"`
+	ID     string `json:"id"`
+	Path   string `json:"path"`
+	What   string `json:"what"`
+	Tenant string `json:"tenant"`
+	Bytes  int    `json:"bytes"`
+}
+
+// runs reads what the servers have written down.
+func (w *world) runs() []run {
+	f, err := os.Open(filepath.Join(w.temp, "runs.txt"))
+	if err != nil {
+		return nil
+	}
+	defer f.Close()
+	var out []run
+	lines := bufio.NewScanner(f)
+	for lines.Scan() {
+		var r run
+		if json.Unmarshal(lines.Bytes(), &r) == nil {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// server is the engine's own process.
+type server struct {
+	id, address, service, zone string
+	controls                   []string
+	born                       int64
+	runs                       *os.File
+	work                       time.Duration
+	crash                      string
+	mu                         sync.Mutex
+}
+
+func runEngine(args []string) {
+	s := &server{born: time.Now().UnixMilli()}
+	f := flag.NewFlagSet(engineVerb, flag.ExitOnError)
+	f.StringVar(&s.id, "id", "", "id of this boot")
+	f.StringVar(&s.address, "address", "", "IP:PORT")
+	f.StringVar(&s.service, "service", "", "service")
+	f.StringVar(&s.zone, "zone", "", "zone")
+	f.DurationVar(&s.work, "work", 60*time.Millisecond, "time that a request takes")
+	f.StringVar(&s.crash, "crash", "body", "where a request that crashes engines does so: head or body")
+	control := f.String("control", "", "control addresses")
+	runs := f.String("runs", "", "file of runs")
+	must(f.Parse(args))
+	s.controls = strings.Split(*control, ",")
+	var err error
+	s.runs, err = os.OpenFile(*runs, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	must(err)
+	l, err := net.Listen("tcp", s.address)
+	must(err)
+	go s.heartbeats()
+	must((&http.Server{Handler: s, IdleTimeout: 15 * time.Second}).Serve(l))
+}
+
+// heartbeats sends a liveness report at each interval, to the next node after a failure.
+func (s *server) heartbeats() {
+	c := &http.Client{Timeout: time.Second}
+	at := 0
+	for sequence := 1; ; sequence++ {
+		body, err := json.Marshal(map[string]any{
+			"service": s.service, "address": s.address, "zone": s.zone, "version": "v1", "slots": 6, "state": "ready",
+			"cold-remaining-ms": 0, "sequence": sequence, "born": s.born,
+		})
+		must(err)
+		for range s.controls {
+			r, err := http.NewRequest(http.MethodPut, "http://"+s.controls[at]+"/buckthornpin/instances/"+s.id, bytes.NewReader(body))
+			must(err)
+			r.Header.Set("Content-Type", "application/json")
+			a, err := c.Do(r)
+			if err == nil {
+				_, _ = io.Copy(io.Discard, a.Body)
+				_ = a.Body.Close()
+				if a.StatusCode == http.StatusOK {
+					break
+				}
+			}
+			at = (at + 1) % len(s.controls)
+		}
+		time.Sleep(heartbeat)
+	}
+}
+
+// note writes a run down before the work begins.
+func (s *server) note(r *http.Request, body []byte, what string) {
+	line, err := json.Marshal(run{
+		At: time.Now().UnixMilli(), Engine: s.id, ID: r.Header.Get("Attempt-Id"), Path: r.URL.Path, What: what,
+		Tenant: r.Header.Get("Tenant"), Bytes: len(body),
+	})
+	must(err)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, err = s.runs.Write(append(line, '\n'))
+	must(err)
+}
+
+const (
+	plainBytes   = 800
+	poison       = "crashes engines"
+	noteRun      = "run"
+	noteCrash    = "crash"
+	crashAtHead  = "head"
+	writtenBytes = 200
+)
+
+// ServeHTTP answers a request as a plain service.
+func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("Attempt-Id")
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	w.Header().Set("Attempt-Id", id)
+	if r.URL.Path == "/health" {
+		w.Header().Set("Instance-Id", s.id)
+		return
+	}
+	if r.Header.Get("Expect-Instance") != s.id {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	crashes := bytes.Contains(body, []byte(poison))
+	if crashes {
+		s.note(r, body, noteCrash)
+	} else {
+		s.note(r, body, noteRun)
+	}
+	if crashes && s.crash == crashAtHead {
+		time.Sleep(s.work / 2)
+		_ = syscall.Kill(os.Getpid(), syscall.SIGKILL)
+	}
+	select {
+	case <-time.After(s.work):
+	case <-r.Context().Done():
+		return
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("Content-Length", strconv.Itoa(plainBytes))
+	w.Header().Set("Server-Seal", "seal-"+s.id)
+	answer := bytes.Repeat([]byte("a"), plainBytes)
+	if crashes {
+		_, _ = w.Write(answer[:writtenBytes])
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(5 * time.Millisecond)
+		_ = syscall.Kill(os.Getpid(), syscall.SIGKILL)
+	}
+	_, _ = w.Write(answer)
+}
