--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -88,12 +88,30 @@
 	return map[string]any{"name": name, "health-path": "/health", "max-connections": 96, "protocol": "h1", "tls": false}
 }
 
+// modelService returns a service of model engines.
+func modelService(name string) map[string]any {
+	return map[string]any{
+		"name": name, "health-path": "/health", "max-connections": 290, "protocol": "h1", "tls": false,
+		"engine": map[string]any{
+			"slots": modelSlots, "kv-token-capacity": 444000, "kv-token-bytes": 131072, "link-mbps": 740000.0, "moves": true, "backups": true,
+			"stride": eventTokens, "most": 12, "pin-ms": 4000.0, "hold-ms": 2000.0, "handle-ttl-s": 5.0, "models": []map[string]any{{"name": modelName}},
+		},
+	}
+}
+
+// noLimit is the prepaid of a tenant that isn't charged.
+const noLimit = 0
+
 // desiredState returns a desired state of the operator.
-func desiredState(version int, routes, services []map[string]any) []byte {
+func desiredState(version, prepaid int, routes, services []map[string]any) []byte {
+	owner := map[string]any{"name": tenant, "api-keys": []string{apiKey}, "priority": 1}
+	if prepaid != noLimit {
+		owner["prepaid"] = prepaid
+	}
 	data, err := json.Marshal(map[string]any{
 		"version": version, "routes": routes, "services": services,
 		"limits":  map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
-		"tenants": []map[string]any{{"name": tenant, "api-keys": []string{apiKey}, "priority": 1}},
+		"tenants": []map[string]any{owner},
 	})
 	must(err)
 	return data
--- a/review/stand/crash_in_answer.go
+++ b/review/stand/crash_in_answer.go
@@ -20,7 +20,7 @@
 		where = v
 	}
 	w.startFleet(controls, routers)
-	w.put(controls, desiredState(1, []map[string]any{route("receipt", "safe", "records", 1500*time.Millisecond, 2)}, []map[string]any{plainService("records")}))
+	w.put(controls, desiredState(1, noLimit, []map[string]any{route("receipt", "safe", "records", 1500*time.Millisecond, 2)}, []map[string]any{plainService("records")}))
 	for range servers {
 		w.startEngine("records", controls, "-crash", where)
 	}
--- a/review/stand/engine.go
+++ b/review/stand/engine.go
@@ -128,7 +128,12 @@
 	runs                       *os.File
 	work                       time.Duration
 	crash                      string
-	mu                         sync.Mutex
+	model                      bool
+	// crashPart is the part of prompts that crashes engines, crashAfter the number of events
+	// that they have written by then.
+	crashPart  string
+	crashAfter int
+	mu         sync.Mutex
 }
 
 func runEngine(args []string) {
@@ -140,6 +145,9 @@
 	f.StringVar(&s.zone, "zone", "", "zone")
 	f.DurationVar(&s.work, "work", 60*time.Millisecond, "time that a request takes")
 	f.StringVar(&s.crash, "crash", "body", "where a request that crashes engines does so: head or body")
+	f.BoolVar(&s.model, "model", false, "the server is a model engine")
+	f.StringVar(&s.crashPart, "crash-part", "", "part of prompts that crashes engines")
+	f.IntVar(&s.crashAfter, "crash-after", 0, "events written before such a crash")
 	control := f.String("control", "", "control addresses")
 	runs := f.String("runs", "", "file of runs")
 	must(f.Parse(args))
@@ -158,10 +166,15 @@
 	c := &http.Client{Timeout: time.Second}
 	at := 0
 	for sequence := 1; ; sequence++ {
-		body, err := json.Marshal(map[string]any{
+		report := map[string]any{
 			"service": s.service, "address": s.address, "zone": s.zone, "version": "v1", "slots": 6, "state": "ready",
 			"cold-remaining-ms": 0, "sequence": sequence, "born": s.born,
-		})
+		}
+		if s.model {
+			report["slots"], report["stage"] = modelSlots, "both"
+			report["models"] = []map[string]any{{"name": modelName, "version": 1, "adapters": []string{}}}
+		}
+		body, err := json.Marshal(report)
 		must(err)
 		for range s.controls {
 			r, err := http.NewRequest(http.MethodPut, "http://"+s.controls[at]+"/buckthornpin/instances/"+s.id, bytes.NewReader(body))
@@ -195,6 +208,12 @@
 }
 
 const (
+	eventStream  = "text/event-stream"
+	modelName    = "m"
+	modelSlots   = 48
+	eventTokens  = 6
+	streamEvents = 20
+	eventPause   = 20 * time.Millisecond
 	plainBytes   = 800
 	poison       = "crashes engines"
 	noteRun      = "run"
@@ -235,6 +254,10 @@
 	case <-r.Context().Done():
 		return
 	}
+	if s.model && r.Header.Get("Accept") == eventStream {
+		s.stream(w, r, body)
+		return
+	}
 	w.Header().Set("Content-Type", "application/octet-stream")
 	w.Header().Set("Content-Length", strconv.Itoa(plainBytes))
 	w.Header().Set("Server-Seal", "seal-"+s.id)
@@ -247,3 +270,29 @@
 	}
 	_, _ = w.Write(answer)
 }
+
+// stream answers a request as a model engine, in events of eventTokens tokens each. One
+// part of a prompt crashes each engine that begins to write an answer on it.
+func (s *server) stream(w http.ResponseWriter, r *http.Request, body []byte) {
+	crashes := s.crashPart != "" && strings.Contains(r.Header.Get("Prompt-Prefix"), s.crashPart+":")
+	w.Header().Set("Content-Type", eventStream)
+	w.Header().Set("Server-Seal", "seal-"+s.id)
+	w.Header().Set("Weight-Versions", "1")
+	for n := 1; n <= streamEvents; n++ {
+		if crashes && n > s.crashAfter {
+			s.note(r, body, noteCrash)
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(5 * time.Millisecond)
+			_ = syscall.Kill(os.Getpid(), syscall.SIGKILL)
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: some words\n\n", n); err != nil {
+			return
+		}
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-time.After(eventPause):
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
