review: a burst of large bodies takes a router's memory

30 bodies of 4 MiB in progress take more than the 134 MB of a front machine; the process is killed and about 10 requests that servers were running get no answer, 3 are allowed.

--- a/review/stand/engine.go
+++ b/review/stand/engine.go
@@ -133,6 +133,7 @@
 	// that they have written by then.
 	crashPart  string
 	crashAfter int
+	pause      time.Duration
 	mu         sync.Mutex
 }
 
@@ -147,6 +148,7 @@
 	f.StringVar(&s.crash, "crash", "body", "where a request that crashes engines does so: head or body")
 	f.BoolVar(&s.model, "model", false, "the server is a model engine")
 	f.StringVar(&s.crashPart, "crash-part", "", "part of prompts that crashes engines")
+	f.DurationVar(&s.pause, "pause", eventPause, "pause between two events")
 	f.IntVar(&s.crashAfter, "crash-after", 0, "events written before such a crash")
 	control := f.String("control", "", "control addresses")
 	runs := f.String("runs", "", "file of runs")
@@ -290,7 +292,7 @@
 		}
 		_ = http.NewResponseController(w).Flush()
 		select {
-		case <-time.After(eventPause):
+		case <-time.After(s.pause):
 		case <-r.Context().Done():
 			return
 		}
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -22,8 +22,10 @@
 	grace     = 8 * time.Second
 	heartbeat = 1200 * time.Millisecond
 	hostName  = "desk.example"
-	apiKey    = "key-of-cafe"
-	tenant    = "cafe"
+	// memoryMB is the memory of a front machine.
+	memoryMB = 284
+	apiKey   = "key-of-cafe"
+	tenant   = "cafe"
 )
 
 // world is one play of a case: the fleet, its servers and the record.
@@ -108,7 +110,10 @@
 var zones = []string{"kgn-a", "kgn-b", "spanish-town", "portmore"}
 
 // startFleet starts control and router processes for the first time.
-func (w *world) startFleet(controls, routers int) {
+func (w *world) startFleet(controls, routers int) { w.startFleetWith(controls, routers, memoryMB) }
+
+// startFleetWith starts them with the given memory of a machine.
+func (w *world) startFleetWith(controls, routers, memory int) {
 	for i := range controls {
 		w.nodes = append(w.nodes, w.newNode(fmt.Sprintf("core-%d", i+1), "control", w.controlIP(i), i, controls))
 	}
@@ -116,6 +121,7 @@
 		w.nodes = append(w.nodes, w.newNode(fmt.Sprintf("front-%d", i+1), "router", w.routerIP(i), i, controls))
 	}
 	for _, n := range w.nodes {
+		n.settings["platform"].(map[string]any)["memory_mb"] = memory
 		w.start(n, true)
 	}
 }
@@ -129,7 +135,7 @@
 	p := map[string]any{
 		"enabled": true, "ip": ip, "caller_address": "", "ready_address": "", "control_address": "",
 		"mesh_port": w.ports["mesh"], "metrics_port": w.ports["metrics"], "seeds": strings.Join(seeds, ","),
-		"memory_mb": 284, "link_mbps": 1000.0, "heartbeat": heartbeat.String(), "contact": contact.String(),
+		"memory_mb": memoryMB, "link_mbps": 1000.0, "heartbeat": heartbeat.String(), "contact": contact.String(),
 		"catch_up": catchUp.String(), "grace": grace.String(), "retry_ratio": 0.2, "retry_slack": 52, "retry_window": "10s",
 	}
 	data := ""
