review: prepaid tokens are lost with the power of routers

Shares of routers that lose power are never given back. The case of a crash two events into a stream makes room; its script stays in review/stand.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,3 +1,3 @@
 #!/bin/bash
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review-stand bodies review/4
+exec target/review-stand crash-in-answer review/4
