review: control that has restarted acknowledges that an unknown server is gone, without effect

With the core killed at once and a server cut off from it for 5 s, 30 requests reach the server later than drain-ms after the confirmation of its DELETE; none is allowed. With one of the two disruptions the rule holds.

--- a/review/stand/engine.go
+++ b/review/stand/engine.go
@@ -11,8 +11,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -37,11 +39,16 @@
 
 // startEngine starts a server process of a service with further arguments.
 func (w *world) startEngine(service string, controls int, args ...string) *engine {
-	e := &engine{world: w, number: len(w.engines), service: service}
 	var heads []string
 	for i := range controls {
 		heads = append(heads, w.address(w.controlIP(i), "control"))
 	}
+	return w.startEngineAt(service, heads, args...)
+}
+
+// startEngineAt starts a server process that reaches control at the given addresses.
+func (w *world) startEngineAt(service string, heads []string, args ...string) *engine {
+	e := &engine{world: w, number: len(w.engines), service: service}
 	e.args = append([]string{
 		engineVerb, "-address", w.address(w.engineIP(e.number), "engine"), "-service", service, "-zone", zones[e.number%len(zones)],
 		"-control", strings.Join(heads, ","), "-runs", filepath.Join(w.temp, "runs.txt"),
@@ -159,15 +166,23 @@
 	must(err)
 	l, err := net.Listen("tcp", s.address)
 	must(err)
-	go s.heartbeats()
+	leave := make(chan os.Signal, 1)
+	signal.Notify(leave, syscall.SIGUSR1)
+	go s.heartbeats(leave)
 	must((&http.Server{Handler: s, IdleTimeout: 15 * time.Second}).Serve(l))
 }
 
 // heartbeats sends a liveness report at each interval, to the next node after a failure.
-func (s *server) heartbeats() {
+func (s *server) heartbeats(leave chan os.Signal) {
 	c := &http.Client{Timeout: time.Second}
 	at := 0
 	for sequence := 1; ; sequence++ {
+		select {
+		case <-leave:
+			s.leave(c, at)
+			return
+		default:
+		}
 		report := map[string]any{
 			"service": s.service, "address": s.address, "zone": s.zone, "version": "v1", "slots": 6, "state": "ready",
 			"cold-remaining-ms": 0, "sequence": sequence, "born": s.born,
@@ -196,6 +211,32 @@
 	}
 }
 
+// leave reports that the server is gone, as those do that never report draining, and goes on
+// serving for stayAfter.
+func (s *server) leave(c *http.Client, at int) {
+	for {
+		r, err := http.NewRequest(http.MethodDelete, "http://"+s.controls[at]+"/buckthornpin/instances/"+s.id, nil)
+		must(err)
+		a, err := c.Do(r)
+		if err == nil {
+			_, _ = io.Copy(io.Discard, a.Body)
+			_ = a.Body.Close()
+			if a.StatusCode == http.StatusOK {
+				break
+			}
+		}
+		at = (at + 1) % len(s.controls)
+		time.Sleep(100 * time.Millisecond)
+	}
+	s.note(&http.Request{URL: &url.URL{Path: s.controls[at]}}, nil, noteLeft)
+	time.Sleep(stayAfter)
+	os.Exit(0)
+}
+
+// stayAfter is how long a server serves after the confirmation that it leaves: "for `drain-ms`
+// after the confirmation and a little longer (at times many seconds)".
+const stayAfter = 10 * time.Second
+
 // note writes a run down before the work begins.
 func (s *server) note(r *http.Request, body []byte, what string) {
 	line, err := json.Marshal(run{
@@ -220,6 +261,7 @@
 	poison       = "crashes engines"
 	noteRun      = "run"
 	noteCrash    = "crash"
+	noteLeft     = "left"
 	crashAtHead  = "head"
 	writtenBytes = 200
 )
