--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -38,8 +38,10 @@
 
 // send sends one attempt to a router. Without a whole answer until the deadline, and half a
 // second for its way, the client gives up.
-func (w *world) send(router int, path, id string, body []byte, deadline time.Duration, header map[string]string) answer {
+func (w *world) send(router int, path, id string, body []byte, deadline time.Duration, header map[string]string) (out answer) {
 	began := time.Now()
+	w.record("sent %s %s to front-%d, %d bytes", id, path, router+1, len(body))
+	defer func() { w.record("answer to %s: %v", id, out) }()
 	r, err := http.NewRequest(http.MethodPost, "http://"+w.address(w.routerIP(router), "front")+path, bytes.NewReader(body))
 	must(err)
 	r.Host = hostName
--- a/review/stand/engine.go
+++ b/review/stand/engine.go
@@ -127,6 +127,13 @@
 	return out
 }
 
+// recordRuns writes down what the servers have run.
+func (w *world) recordRuns() {
+	for _, r := range w.runs() {
+		w.record("at %.3f s server %s: %s %s %s, tenant %q, %d bytes", float64(r.At-w.started.UnixMilli())/1000, r.Engine, r.What, r.ID, r.Path, r.Tenant, r.Bytes)
+	}
+}
+
 // server is the engine's own process.
 type server struct {
 	id, address, service, zone string
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -43,6 +43,7 @@
 			code = exitNotRun
 		}
 		w.stopAll()
+		w.recordRuns()
 		w.record("exit code %d", code)
 		w.close()
 	}()
