An acknowledged DELETE reaches the routers, also if control doesn't know the endpoint

Cause: control acknowledged when the report was sent, not when it had an effect. A DELETE names no incarnation; a control process that had restarted recorded incarnation 0, and routers ignore a lower incarnation than the one that they know. Evidence: the logs of the new test on the code before, "endpoint_leaving ... of [], started 0, announcement 0" at control and no line at the routers; in the second scenario the routers joined control 3 s after the acknowledgement. Ruled out: an update that is lost or late on its way (no line at the routers at all).

Change: a process that is told of an earlier incarnation than it knows replies with its own, and control tells the others again; leaving holds for an incarnation, also if the report is older than the newest announcement; control refuses the call until it has compared endpoints with a router, and while an unknown endpoint can't be asked for; control compares endpoints with each process at first and after a failed message. A DELETE on a connection with heartbeats is of the incarnation that these name, so that a delayed one doesn't take a new process out of service.

The same cause elsewhere: `draining` at a control process that has just started; earlier announcements or incarnations known to control; a cut longer than updates are repeated; a late heartbeat after an unknown endpoint has left; a refuted report of a dead endpoint.

--- a/app/fleet_control.go
+++ b/app/fleet_control.go
@@ -10,10 +10,6 @@
 	"buckthornpin/wire"
 )
 
-// pushTimeout bounds the wait until the reachable processes have been informed that
-// an endpoint is leaving. Endpoints wait one second for the acknowledgement.
-const pushTimeout = 600 * time.Millisecond
-
 // platformControl passes the requests of the hosting platform's operators and
 // endpoints on to the control group and the directory.
 type platformControl struct {
@@ -45,20 +41,12 @@
 	e.SeenAt = time.Now()
 	c.process.directory.Put(e)
 	if e.Leaving {
-		c.pushUpdates(ctx)
+		return c.process.mesh.ConfirmLeaving(ctx, e.ID)
 	}
 	return nil
 }
 
 // Leave implements platf.Control.
-func (c *platformControl) Leave(ctx context.Context, id string) error {
-	c.process.directory.Leave(id)
-	c.pushUpdates(ctx)
-	return nil
-}
-
-func (c *platformControl) pushUpdates(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
-	defer cancel()
-	c.process.mesh.PushUpdates(ctx)
+func (c *platformControl) Leave(ctx context.Context, id string, incarnation int64) error {
+	return c.process.mesh.Leave(ctx, id, incarnation)
 }
--- a/integ/fleet_engine_test.go
+++ b/integ/fleet_engine_test.go
@@ -33,6 +33,8 @@
 	server      *httptest.Server
 	address     string
 	leaving     bool
+	// silent keeps the endpoint from sending heartbeats.
+	silent bool
 	// leaveAckedAt is when control first acknowledged that the endpoint is leaving.
 	leaveAckedAt time.Time
 	running      atomic.Int64
@@ -169,7 +171,27 @@
 		ID: e.id, Services: []string{e.service}, Address: e.address, Zone: "zone-1", Capacity: endpointSlots,
 		Incarnation: e.incarnation, Sequence: e.sequence, Leaving: e.leaving,
 	})
-	return path, body, e.server != nil
+	return path, body, e.server != nil && !e.silent
+}
+
+// goSilent ends the endpoint's heartbeats.
+func (e *endpointStub) goSilent() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.silent = true
+}
+
+// leave reports to control VMs that the endpoint has left, until one acknowledges it.
+func (e *endpointStub) leave() {
+	e.fleet.t.Helper()
+	next := 0
+	e.fleet.eventually("control has acknowledged that "+e.id+" has left", func() bool {
+		next = (next + 1) % len(e.fleet.controls)
+		return e.fleet.callControl(e.fleet.ctx, e.fleet.controls[next], http.MethodDelete, platf.InstancePath(e.id), nil)
+	})
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaveAckedAt = time.Now()
 }
 
 func (e *endpointStub) recordLeaveAck() {
--- a/peer/directory.go
+++ b/peer/directory.go
@@ -44,6 +44,10 @@
 	endedAt        time.Time
 }
 
+// identified reports whether the endpoint has been announced. Otherwise all that is known
+// of it is that it left.
+func (e *entry) identified() bool { return e.endpoint.Address != "" || e.endpoint.Incarnation != 0 }
+
 type directoryIndex struct {
 	all      []*buckthornpin.Endpoint
 	byTarget map[buckthornpin.Target][]*buckthornpin.Endpoint
@@ -59,10 +63,11 @@
 		d.markPredecessorsLeaving(e)
 		return
 	}
-	if !e.Supersedes(old.endpoint) && e.Sequence <= old.newestSequence {
+	if old.endpoint.Incarnation > e.Incarnation || d.leftUnidentified(old, e) {
 		return
 	}
-	if old.endpoint.Incarnation > e.Incarnation {
+	if !e.Supersedes(old.endpoint) && e.Sequence <= old.newestSequence {
+		d.mergeLeaving(old, e)
 		return
 	}
 	e.Leaving = e.Leaving || old.endpoint.Leaving && old.endpoint.Incarnation == e.Incarnation
@@ -74,16 +79,24 @@
 	d.store(e, old)
 }
 
-// MergeEndpoint merges an endpoint state reported by another process.
-func (d *Directory) MergeEndpoint(e buckthornpin.Endpoint) {
+// MergeEndpoint merges an endpoint state reported by another process and returns the
+// endpoint as it is known now.
+func (d *Directory) MergeEndpoint(e buckthornpin.Endpoint) buckthornpin.Endpoint {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	old := d.entries[e.ID]
+	d.merge(d.entries[e.ID], e)
+	return d.entries[e.ID].endpoint
+}
+
+// merge merges a reported state with the entry of the endpoint, if there is one. The
+// caller holds mu.
+func (d *Directory) merge(old *entry, e buckthornpin.Endpoint) {
 	if old == nil {
 		d.store(e, nil)
 		return
 	}
 	if !e.Supersedes(old.endpoint) {
+		d.mergeLeaving(old, e)
 		return
 	}
 	if e.Incarnation == old.endpoint.Incarnation {
@@ -95,12 +108,29 @@
 	if d.refutes(old, e) {
 		living := old.endpoint.WithDead(false)
 		living.Sequence = old.newestSequence
+		living.Leaving = e.Leaving
 		d.store(living, old)
 		return
 	}
 	d.store(e, old)
 }
 
+// mergeLeaving takes over from an outdated announcement or report that the incarnation is
+// leaving. An endpoint that is leaving never returns to service in the same incarnation,
+// and the process that it told may have missed its latest announcements. The caller holds
+// mu.
+func (d *Directory) mergeLeaving(old *entry, e buckthornpin.Endpoint) {
+	if e.Leaving && !old.endpoint.Leaving && e.Incarnation == old.endpoint.Incarnation {
+		d.store(old.endpoint.WithLeaving(), old)
+	}
+}
+
+// leftUnidentified reports whether e is probably a late announcement of an endpoint that
+// has left before any incarnation of it was known.
+func (d *Directory) leftUnidentified(old *entry, e buckthornpin.Endpoint) bool {
+	return !old.identified() && !e.Leaving && time.Since(old.endedAt) < d.DeadAfter
+}
+
 // refutes reports whether e, a report that an endpoint is dead, is wrong: this process
 // has received an announcement from the endpoint within DeadAfter, and a later one than
 // the process that reports it dead.
@@ -120,23 +150,38 @@
 	d.store(old.endpoint.WithLeaving(), old)
 }
 
-// Leave records that an endpoint has reported that it is leaving. An unknown endpoint is
-// recorded too, so that a late heartbeat does not bring it back.
-func (d *Directory) Leave(id string) {
+// Leave records that an incarnation of an endpoint is leaving, or the newest known one if
+// incarnation is 0. An unknown endpoint is recorded too, so that a late heartbeat does not
+// bring it back. If its incarnation isn't known either, every report of another process
+// supersedes the record.
+func (d *Directory) Leave(id string, incarnation int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	old := d.entries[id]
-	if old == nil {
-		d.store(buckthornpin.Endpoint{ID: id, Leaving: true}, nil)
-		return
-	}
-	if !old.endpoint.Leaving {
+	switch {
+	case old == nil || incarnation > old.endpoint.Incarnation:
+		d.store(buckthornpin.Endpoint{ID: id, Incarnation: incarnation, Leaving: true}, old)
+	case old.endpoint.Leaving || incarnation != 0 && incarnation < old.endpoint.Incarnation:
+	default:
 		leaving := old.endpoint.WithLeaving()
 		leaving.Sequence = old.newestSequence
 		d.store(leaving, old)
 	}
 }
 
+// hasLeft reports whether an incarnation of an endpoint, or the newest known one if
+// incarnation is 0, is leaving or gone. identified is false if all that is known of the
+// endpoint is that it left.
+func (d *Directory) hasLeft(id string, incarnation int64) (left, identified bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e := d.entries[id]
+	if e == nil {
+		return false, false
+	}
+	return e.endpoint.Leaving || incarnation != 0 && incarnation < e.endpoint.Incarnation, e.identified()
+}
+
 // markPredecessorsLeaving marks earlier processes at the address of an endpoint as
 // leaving. The caller holds mu.
 func (d *Directory) markPredecessorsLeaving(e buckthornpin.Endpoint) {
--- a/peer/limits_test.go
+++ b/peer/limits_test.go
@@ -40,7 +40,7 @@
 	a.tell(b)
 	require.Equal(t, a.limits.All(), b.limits.All())
 
-	a.Leave(e.ID)
+	a.Leave(e.ID, 0)
 	a.tell(b)
 	require.Len(t, b.limits.All(), 1, "an endpoint that leaves may still get requests")
 	a.forgetEnded()
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -98,9 +99,13 @@
 	// loadsChanged wakes RunLoads when a load has changed that the others should know
 	// at once.
 	loadsChanged chan struct{}
-	mu           sync.Mutex
-	clients      conn.Clients[wire.MeshClient]
-	loads        map[string]routerLoads
+	// comparedWithRouter is set once this process and a router have compared what they
+	// know of endpoints.
+	comparedWithRouter atomic.Bool
+
+	mu      sync.Mutex
+	clients conn.Clients[wire.MeshClient]
+	loads   map[string]routerLoads
 	// others is the sum of the other routers' loads, by endpoint.
 	others map[string]route.Load
 	rounds int
@@ -131,7 +136,9 @@
 	var wg sync.WaitGroup
 	for i, address := range targets {
 		r := request
-		if noControlKnown || i == 0 && m.rounds%meshCompareRounds == 1 {
+		firstOfSeveral := i == 0 && m.rounds%meshCompareRounds == 1
+		notCompared := m.Nodes.Self.Control && !m.Nodes.Compared(address)
+		if noControlKnown || firstOfSeveral || notCompared {
 			r = m.newRequest(request.GetEndpoints(), limitStates(m.Limits.All()))
 			r.Nodes = m.Nodes.States()
 			r.Digest = m.Directory.Digest()
@@ -165,7 +172,9 @@
 // a few of many, and periodically also a control process and a silent router. A router
 // that restarts while it is cut off from control doesn't know any other process, so the
 // others have to contact it. Control processes contact all living processes, or a few
-// of many, and a control process.
+// of many, and a control process. They compare endpoints with each process at first and
+// after a message to it has failed: they may have started with nothing, or have been cut
+// off for longer than updates are sent.
 func (m *Mesh) targets(now time.Time) []string {
 	var out []string
 	if !m.Nodes.Self.Control {
@@ -197,18 +206,23 @@
 	return []string{nodes[rand.IntN(len(nodes))].Address}
 }
 
-// draw returns the addresses of all nodes in random order, or of n of them if there are
-// more than maxFullMesh.
+// draw returns the addresses of the nodes that drawNodes draws.
 func draw(nodes []Node, n int) []string {
+	var out []string
+	for _, k := range drawNodes(nodes, n) {
+		out = append(out, k.Address)
+	}
+	return out
+}
+
+// drawNodes returns all nodes in random order, or n of them if there are more than
+// maxFullMesh.
+func drawNodes(nodes []Node, n int) []Node {
 	rand.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
 	if len(nodes) > maxFullMesh {
 		nodes = nodes[:n]
 	}
-	out := make([]string, 0, len(nodes))
-	for _, k := range nodes {
-		out = append(out, k.Address)
-	}
-	return out
+	return nodes
 }
 
 func (m *Mesh) newRequest(updates []*wire.EndpointState, limits []*wire.LimitState) *wire.TellRequest {
@@ -235,6 +249,7 @@
 	defer cancel()
 	reply, err := m.client(address).Tell(ctx, r)
 	if err != nil {
+		m.Nodes.SetCompared(address, false)
 		return false
 	}
 	m.Nodes.Merge(reply.GetNodes(), time.Now())
@@ -247,39 +262,37 @@
 	if reply.GetDiffers() {
 		full := m.newRequest(m.Directory.States(), limitStates(m.Limits.All()))
 		full.Nodes = m.Nodes.States()
-		_, _ = m.client(address).Tell(ctx, full)
+		if _, err := m.client(address).Tell(ctx, full); err != nil {
+			m.Nodes.SetCompared(address, false)
+			return true
+		}
+	}
+	if r.GetDigest() != 0 {
+		m.recordCompared(address)
 	}
 	return true
 }
 
-// PushUpdates sends updates of endpoints to the living processes at once and waits
-// until they have answered or ctx ends. With many processes only some are contacted,
-// and the rounds spread the updates further.
-func (m *Mesh) PushUpdates(ctx context.Context) {
-	updates := m.Directory.NextUpdates()
-	if len(updates) == 0 {
-		return
-	}
-	request := m.newRequest(updates, nil)
-	var wg sync.WaitGroup
-	for _, address := range draw(m.Nodes.Living(time.Now()), maxFullMesh) {
-		wg.Go(func() { m.send(ctx, address, request) })
+// recordCompared records that this process and another one know the same endpoints.
+func (m *Mesh) recordCompared(address string) {
+	m.Nodes.SetCompared(address, true)
+	if m.Nodes.IsRouter(address) {
+		m.comparedWithRouter.Store(true)
 	}
-	wg.Wait()
 }
 
 // Tell implements wire.MeshHandler.
 func (m *Mesh) Tell(_ context.Context, r *wire.TellRequest) (*wire.TellReply, error) {
 	now := time.Now()
 	m.Nodes.Merge(r.GetNodes(), now)
-	m.Directory.Merge(r.GetEndpoints())
+	newer := m.Directory.Merge(r.GetEndpoints())
 	m.recordLoads(r, now)
 	mergeLimits(&m.Limits, m.Directory, r.GetLimits(), now)
 	m.recordCrashes(r, now)
 	if m.Budgets != nil && len(r.GetBalances()) > 0 {
 		m.Budgets.RecordBalances(r.GetVm(), r.GetBalances())
 	}
-	reply := &wire.TellReply{Holds: m.holdStates(now)}
+	reply := &wire.TellReply{Holds: m.holdStates(now), Endpoints: newer}
 	if m.Site != nil && r.GetWantsSite() {
 		reply.Site = m.Site.NewerThan(r.GetSiteVersion())
 	}
--- a/peer/news.go
+++ b/peer/news.go
@@ -50,15 +50,31 @@
 	return out
 }
 
-// Merge merges endpoint states reported by another process.
-func (d *Directory) Merge(states []*wire.EndpointState) {
+// Merge merges endpoint states reported by another process. It returns this process's
+// states of those endpoints of which the other one knows only an earlier incarnation.
+func (d *Directory) Merge(states []*wire.EndpointState) []*wire.EndpointState {
+	var newer []*wire.EndpointState
 	for _, s := range states {
-		d.MergeEndpoint(buckthornpin.Endpoint{
+		known := d.MergeEndpoint(buckthornpin.Endpoint{
 			ID: s.GetEndpoint(), Address: s.GetAddress(), Zone: s.GetZone(), Models: s.GetModels(), Adapters: s.GetAdapters(), Services: s.GetServices(),
 			Capacity: int(s.GetCapacity()), Incarnation: s.GetIncarnation(), Sequence: s.GetSequence(),
 			Leaving: s.GetLeaving(), Dead: s.GetDead(), Version: s.GetVersion(),
 		})
+		if known.Incarnation > s.GetIncarnation() {
+			newer = append(newer, endpointState(known))
+		}
+	}
+	return newer
+}
+
+// state returns the state of one endpoint, or nil if it is unknown.
+func (d *Directory) state(id string) *wire.EndpointState {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if e := d.entries[id]; e != nil {
+		return endpointState(e.endpoint)
 	}
+	return nil
 }
 
 // Digest returns a hash of the identities, incarnations and addresses of all living
--- a/peer/nodes.go
+++ b/peer/nodes.go
@@ -24,6 +24,9 @@
 	YieldsLimits bool
 	// HeardAt is the time at which this process last saw Heartbeat rise.
 	HeardAt time.Time
+	// compared reports whether this process and the other one have compared what they know
+	// of endpoints since the last message to it that failed.
+	compared bool
 }
 
 // Nodes holds the other processes that a process has learned of, by address. A process
@@ -73,7 +76,7 @@
 	next := &Node{
 		VM: s.GetVm(), Zone: s.GetZone(), Address: s.GetAddress(), Control: s.GetControl(),
 		Incarnation: s.GetIncarnation(), Heartbeat: s.GetBeat(), Stopping: s.GetStopping(), YieldsLimits: s.GetYieldsLimits(),
-		HeardAt: now,
+		HeardAt: now, compared: !fresh && old.compared,
 	}
 	if n.known == nil {
 		n.known = map[string]*Node{}
@@ -163,6 +166,33 @@
 	}
 }
 
+// SetCompared records whether this process and another one have compared what they know of
+// endpoints.
+func (n *Nodes) SetCompared(address string, compared bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if k := n.known[address]; k != nil {
+		k.compared = compared
+	}
+}
+
+// Compared reports what SetCompared has recorded, and false for a process that has started
+// since.
+func (n *Nodes) Compared(address string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	k := n.known[address]
+	return k != nil && k.compared
+}
+
+// IsRouter reports whether a router is known at an address.
+func (n *Nodes) IsRouter(address string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	k := n.known[address]
+	return k != nil && !k.Control
+}
+
 // Routers returns the living routers besides this process, ordered by address.
 func (n *Nodes) Routers(now time.Time) []Node {
 	return n.living(now, func(k *Node) bool { return !k.Control })
