A crash in the midst of an answer accuses the request, however it is framed

Cause: of all ways in which an attempt ends, only two (no head, a stream that broke off) asked whether the endpoint had crashed. A plain answer that broke off after its head, an answer that isn't passed on (server error, no signature) and an answer without a length, which looks whole when its endpoint's process ends, didn't. Ruled out: an endpoint that is back before the check (the same check finds the crashes before the head).

Change: deliver checks the endpoint after a plain answer that broke off; the rest of an answer that isn't passed on is read (16 KiB, 50 ms) and checked; an answer that ended with its connection is taken as broken off if its endpoint refuses connections then and isn't leaving, so that half an answer doesn't pass as whole either.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -51,9 +52,11 @@
 	}
 	f.mayHaveRun = true
 	if !a.Signed {
+		f.drop(sendCtx, cancel, e, a)
 		return f.rejectUnsigned(e, a)
 	}
 	if a.Status >= 500 && f.route.Repeatable() && f.mayRetry() {
+		f.drop(sendCtx, cancel, e, a)
 		f.router.tracker.RecordAnswer(e.ID, a.Status, time.Now())
 		f.log("endpoint_error").Str("endpoint", e.ID).Int("status", a.Status).Msg("endpoint answered with a server error, trying another one")
 		return false
@@ -134,8 +137,15 @@
 	}
 	buffer := buffered{all: &f.router.buffers}
 	defer buffer.release()
-	if err := buffer.readAll(a.Body); err != nil {
+	err := buffer.readAll(a.Body)
+	if err == nil {
+		err = f.checkEnd(ctx, e, a)
+	}
+	if err != nil {
 		f.router.tracker.RecordFailure(e.ID, time.Now())
+		if ctx.Err() == nil {
+			f.router.Crashes.CheckEndpoint(e, f.suspect, time.Now())
+		}
 		f.log("broken").Str("endpoint", e.ID).Err(err).Msg("answer broke off")
 		if !f.route.Repeatable() {
 			f.sentCount = max(f.sentCount, f.route.MaxAttempts)
@@ -156,6 +166,51 @@
 	return true
 }
 
+const (
+	// maxDroppedBytes and dropTimeout bound what is read of an answer that isn't forwarded.
+	maxDroppedBytes = 16 << 10
+	dropTimeout     = 50 * time.Millisecond
+)
+
+// drop reads the rest of an answer that isn't forwarded. It shows whether the endpoint has
+// crashed in the midst of it. cancel ends ctx and with it the exchange.
+func (f *flight) drop(ctx context.Context, cancel context.CancelFunc, e *buckthornpin.Endpoint, a *Answer) {
+	timer := time.AfterFunc(dropTimeout, cancel)
+	defer timer.Stop()
+	_, err := io.CopyN(io.Discard, a.Body, maxDroppedBytes)
+	whole := err == nil || errors.Is(err, io.EOF) && !a.Unframed
+	if !whole && ctx.Err() == nil {
+		f.router.Crashes.CheckEndpoint(e, f.suspect, time.Now())
+	}
+}
+
+// errEndedWithEndpoint is returned if an answer without a length ended as its endpoint did.
+var errEndedWithEndpoint = errors.New("answer without a length ended, and its endpoint refuses connections")
+
+// checkEnd checks an answer that has been read to its end. If only the end of its connection
+// shows that it is whole, the endpoint's process must not have ended, unless it is leaving.
+func (f *flight) checkEnd(ctx context.Context, e *buckthornpin.Endpoint, a *Answer) error {
+	if !a.Unframed || a.Leaving || f.isLeaving(e) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
+	defer cancel()
+	if f.router.Endpoints.RefusesConnections(ctx, e.Address) {
+		return errEndedWithEndpoint
+	}
+	return nil
+}
+
+// isLeaving reports whether an endpoint has said by now that it is leaving.
+func (f *flight) isLeaving(e *buckthornpin.Endpoint) bool {
+	for _, k := range f.router.Directory.Serving(buckthornpin.Target{Service: f.service.Name}) {
+		if k.ID == e.ID && k.Incarnation == e.Incarnation {
+			return k.Leaving
+		}
+	}
+	return false
+}
+
 // recordAnswer records a complete answer of an endpoint.
 func (f *flight) recordAnswer(e *buckthornpin.Endpoint, a *Answer) {
 	now := time.Now()
--- a/relay/request.go
+++ b/relay/request.go
@@ -71,7 +71,10 @@
 	Header http.Header
 	// Length is the size of the body in bytes; -1 if unknown.
 	Length int64
-	Body   io.ReadCloser
+	// Unframed is set if the body ends with its connection. A body that was cut off by the
+	// end of the endpoint's process looks whole then.
+	Unframed bool
+	Body     io.ReadCloser
 	// NotRun is set if the endpoint states that it didn't run the request.
 	NotRun bool
 	// Misdirected is set if another endpoint now has the address.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -32,6 +32,10 @@
 	before := f.progress.delivered
 	err := f.forwardEvents(a, onBegin)
 	if err == nil {
+		err = f.checkEnd(ctx, e, a)
+	}
+	if err == nil {
+		f.beginAnswer(a)
 		f.recordAnswer(e, a)
 		f.finish("answered", e)
 		return true
@@ -105,7 +109,6 @@
 		case errors.Is(err, io.EOF) && len(buf) > 0:
 			return errPartialEvent
 		case errors.Is(err, io.EOF):
-			f.beginAnswer(a)
 			return nil
 		case err != nil:
 			return err
