An earlier refusal on a kept connection isn't taken as the current request's

Reported by other operators: a faulty endpoint writes an earlier refusal once more on a kept connection, and callers are told that requests haven't run which have, or requests run at a second endpoint. Both could happen here.

Cause: which request an answer belongs to was concluded from where it came. relay took an answer without an id as the current request's; our own protocol had no id in its replies. Evidence: the tests with a stand-in that answers with given bytes. Ruled out: refusals with another id (relay skips them), a request that is sent again under its id (a connection with a refusal wasn't used again, though only since its body wasn't read; now on purpose), and requests of our own interface that may not be repeated (a new connection each).

Change: on a connection that has carried an exchange, an answer without an id isn't the current request's, and a connection isn't kept after one or after a refusal. Replies of our own protocol repeat the request's id and the attempt; another or none on a kept connection closes it and counts as may have run; connections are kept only to endpoints that repeat them.

--- a/conn/exchange.go
+++ b/conn/exchange.go
@@ -43,6 +43,8 @@
 	head      *headReader
 	idleUntil time.Time
 	broken    bool
+	// reused is set if the connection has carried an earlier exchange.
+	reused bool
 	// stopAfterFunc is the stop function that context.AfterFunc returned.
 	stopAfterFunc func() bool
 	// writeResult receives the result of a write in a goroutine. It is nil if there is
@@ -53,6 +55,9 @@
 // Response is the answer to a request. Its Body must be closed.
 type Response struct {
 	*http.Response
+	// Reused is set if the connection has carried an earlier exchange. Bytes that are left
+	// of it may look like an answer.
+	Reused     bool
 	connection *Connection
 }
 
@@ -94,7 +99,7 @@
 		if r.StatusCode >= 100 && r.StatusCode < 200 && r.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
-		out := &Response{Response: r, connection: c}
+		out := &Response{Response: r, Reused: c.reused, connection: c}
 		r.Body = &pooledBody{body: r.Body, response: out}
 		return out, nil
 	}
@@ -188,7 +193,7 @@
 		c.discard()
 		return nil
 	}
-	c.broken = false
+	c.broken, c.reused = false, true
 	c.idleUntil = time.Now().Add(peerIdleTimeout(r.Header))
 	c.pool.putIdle(c)
 	return nil
--- a/endpt/client.go
+++ b/endpt/client.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -63,6 +64,10 @@
 	// ObserveLeaving is called if an answer says that its endpoint takes no new work; nil
 	// ignores that. The answer itself counts.
 	ObserveLeaving func(a Attempt)
+
+	// repeating holds the incarnations of the endpoints whose answers repeat the id of the
+	// request, by address.
+	repeating sync.Map
 }
 
 // Chat sends an attempt to a model engine and returns the stream of its answer. The
@@ -111,8 +116,8 @@
 // do sends an attempt. Once it has a connection, bytes may have been sent, so the
 // attempt is treated as run unless the endpoint states otherwise.
 func (c *Client) do(ctx context.Context, a Attempt, method, path, contentType string) (*http.Response, error) {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	var connection atomic.Pointer[httptrace.GotConnInfo]
+	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { connection.Store(&i) }}
 	url := c.Scheme + "://" + a.Endpoint.Address + path
 	r, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, url, bytes.NewReader(a.Request.Body))
 	if err != nil {
@@ -121,23 +126,44 @@
 	c.setHeaders(r.Header, a, contentType)
 	sentAt := time.Now()
 	res, err := c.client(a).Do(r)
-	if err != nil && !connected.Load() {
+	if err != nil && connection.Load() == nil {
 		return nil, &Error{Op: "run", Kind: KindNotSent, Err: err}
 	}
 	if err != nil {
 		return nil, &Error{Op: "run", Kind: KindBroken, Err: errors.Join(err, context.Cause(ctx))}
 	}
+	if c.ObserveLeaving != nil && res.Header.Get(LeavingHeader) != "" {
+		c.ObserveLeaving(a)
+	}
+	if err := c.checkRequest(res, a, connection.Load()); err != nil {
+		return nil, err
+	}
 	l := buckthornpin.ParseStatedLimit(res.Header.Get(LimitHeader))
 	if c.ObserveLimit != nil && (l.Stated || res.Header.Get(NotRunHeader) == "") {
 		c.ObserveLimit(a, l, sentAt)
 	}
 	c.observePause(res, a)
-	if c.ObserveLeaving != nil && res.Header.Get(LeavingHeader) != "" {
-		c.ObserveLeaving(a)
-	}
 	return res, checkStatus(res, a)
 }
 
+// checkRequest returns an error of KindMismatch, and closes the connection, if an answer may
+// belong to another attempt: it repeats another id, or none on a connection that was used
+// before. An endpoint may write an earlier answer once more. If it says that it didn't run
+// that one, this attempt may be running.
+func (c *Client) checkRequest(res *http.Response, a Attempt, on *httptrace.GotConnInfo) error {
+	id, number := res.Header.Get(RequestHeader), res.Header.Get(AttemptHeader)
+	if id == a.RequestID && number == strconv.Itoa(a.Number) {
+		c.repeating.Store(a.Endpoint.Address, a.Endpoint.Incarnation)
+		return nil
+	}
+	if id == "" && !on.Reused {
+		return nil
+	}
+	_ = on.Conn.Close() // Closing the body may leave the connection to the next request.
+	_ = res.Body.Close()
+	return &Error{Op: "run", Kind: KindMismatch, Err: errors.Errorf("endpoint %s: answer to request %q, attempt %q", a.Endpoint.ID, id, number)}
+}
+
 // observePause passes on the pause that an endpoint asks for. A plain service's own 503 is an
 // answer to the caller, and so is its Retry-After.
 func (c *Client) observePause(res *http.Response, a Attempt) {
@@ -151,9 +177,12 @@
 }
 
 // client returns the HTTP client for an attempt. A non-idempotent request gets a new
-// connection, since a pooled one may have failed without being noticed.
+// connection, since a pooled one may have failed without being noticed. So does a request
+// to an endpoint that isn't known to repeat the ids of requests, since an answer may be left
+// on a pooled one.
 func (c *Client) client(a Attempt) *http.Client {
-	if a.Request.NonIdempotent {
+	incarnation, ok := c.repeating.Load(a.Endpoint.Address)
+	if a.Request.NonIdempotent || !ok || incarnation != a.Endpoint.Incarnation {
 		return c.UnpooledHTTP
 	}
 	return c.HTTP
--- a/endpt/client_test.go
+++ b/endpt/client_test.go
@@ -38,7 +38,7 @@
 			t.Cleanup(engine.Close)
 			var left []string
 			c := &Client{
-				HTTP: engine.Client(), Scheme: "http", Secret: func() string { return "" },
+				HTTP: engine.Client(), UnpooledHTTP: engine.Client(), Scheme: "http", Secret: func() string { return "" },
 				ObserveLeaving: func(a Attempt) { left = append(left, a.Endpoint.ID) },
 			}
 			stream, err := c.Chat(t.Context(), Attempt{Endpoint: buckthornpin.Endpoint{ID: "e", Address: strings.TrimPrefix(engine.URL, "http://")}})
--- a/endpt/error.go
+++ b/endpt/error.go
@@ -17,8 +17,8 @@
 	KindRejected Kind = "rejected"
 	// KindBroken means that the attempt may have run and gave no complete answer.
 	KindBroken Kind = "broken"
-	// KindMismatch means that a frame is malformed or belongs to another request or
-	// attempt.
+	// KindMismatch means that a frame is malformed, or that a frame or an answer belongs
+	// to another request or attempt. The attempt may have run.
 	KindMismatch Kind = "mismatch"
 )
 
--- a/endpt/protocol.go
+++ b/endpt/protocol.go
@@ -5,7 +5,7 @@
 
 // Headers of the endpoint protocol.
 const (
-	// RequestHeader carries the id of the request.
+	// RequestHeader carries the id of the request. Answers repeat it and AttemptHeader.
 	RequestHeader = "X-Request-Id"
 	// AttemptHeader carries the number of the attempt, from 1.
 	AttemptHeader = "X-Attempt"
--- a/stand/endpoint.go
+++ b/stand/endpoint.go
@@ -119,6 +119,8 @@
 
 // ServeHTTP implements http.Handler.
 func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(endpt.RequestHeader, r.Header.Get(endpt.RequestHeader))
+	w.Header().Set(endpt.AttemptHeader, r.Header.Get(endpt.AttemptHeader))
 	switch {
 	case e.Secret != "" && r.Header.Get(endpt.SecretHeader) != e.Secret:
 		w.WriteHeader(http.StatusUnauthorized)
--- /dev/null
+++ b/stand/raw.go
@@ -0,0 +1,147 @@
+package stand
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"sync"
+	"sync/atomic"
+)
+
+// Ending is what a raw endpoint does after it has written an answer.
+type Ending int
+
+// The endings of an answer. After a crash, nothing listens on the endpoint's address, and all
+// its connections are closed.
+const (
+	KeepsOpen Ending = iota
+	Closes
+	Resets
+	Crashes
+	CrashesWithReset
+)
+
+// RawEndpoint is an endpoint that answers with given bytes, whether they are an answer in the
+// protocol or not. Its exported fields are set before Start.
+type RawEndpoint struct {
+	// Respond returns the bytes that answer a request and what follows. nth counts the
+	// requests on the connection from 1.
+	Respond func(r *http.Request, nth int) (string, Ending)
+
+	listener    net.Listener
+	serving     sync.WaitGroup
+	mu          sync.Mutex
+	connections []net.Conn
+	received    []http.Header
+	ended       bool
+}
+
+// rawEndpoints counts the raw endpoints of this process.
+var rawEndpoints atomic.Uint32
+
+// rawAddress returns a loopback address that no other raw endpoint of this process has. After a
+// crash nothing else may listen on the endpoint's port, since requests are still sent to it.
+func rawAddress() string {
+	n := rawEndpoints.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d:0", 20+os.Getpid()%20, n/250%250+1, n%250+1)
+}
+
+// Start listens on a free port on loopback.
+func (e *RawEndpoint) Start() error {
+	l, err := net.Listen("tcp", rawAddress())
+	if err != nil {
+		return &Error{Op: "start raw endpoint", Kind: KindServe, Err: err}
+	}
+	e.listener = l
+	e.serving.Go(e.accept)
+	return nil
+}
+
+// Address returns IP:PORT.
+func (e *RawEndpoint) Address() string { return e.listener.Addr().String() }
+
+// Stop ends the endpoint and waits until nothing of it runs.
+func (e *RawEndpoint) Stop() {
+	e.end()
+	e.serving.Wait()
+}
+
+// Ended reports whether the endpoint has crashed or was stopped.
+func (e *RawEndpoint) Ended() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.ended
+}
+
+// Received returns the headers of the requests so far, in order.
+func (e *RawEndpoint) Received() []http.Header {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.received)
+}
+
+// Connections returns the number of connections that were opened so far.
+func (e *RawEndpoint) Connections() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.connections)
+}
+
+func (e *RawEndpoint) accept() {
+	for {
+		c, err := e.listener.Accept()
+		if err != nil {
+			return
+		}
+		e.mu.Lock()
+		e.connections = append(e.connections, c)
+		e.mu.Unlock()
+		e.serving.Go(func() { e.serve(c) })
+	}
+}
+
+// end closes the listener and all connections.
+func (e *RawEndpoint) end() {
+	_ = e.listener.Close()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.ended = true
+	for _, c := range e.connections {
+		_ = c.Close()
+	}
+}
+
+// serve answers the requests on a connection, one after the other.
+func (e *RawEndpoint) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	for nth := 1; ; nth++ {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		e.mu.Lock()
+		e.received = append(e.received, r.Header)
+		e.mu.Unlock()
+		text, then := e.Respond(r, nth)
+		if _, err := io.WriteString(c, text); err != nil {
+			return
+		}
+		if then == Resets || then == CrashesWithReset {
+			_ = c.(*net.TCPConn).SetLinger(0)
+		}
+		if then == Crashes || then == CrashesWithReset {
+			e.end()
+		}
+		if then != KeepsOpen {
+			return
+		}
+	}
+}
