An error is never a part of another endpoint's stream

Reported by other operators: after a stream that broke off, callers found the text of the next endpoint's error in the midst of their stream, or the stream ended as if it were complete. Both could happen here, for an error with the content type of a stream.

Cause: the content type alone decided that an answer is a stream. An error in that form was forwarded event by event, and one without events ended the caller's stream as complete. Ruled out: a body that is spliced with what follows on its connection (then plain errors fail too).

Change: only an answer with status 200 is a stream; where a stream has begun, another answer is dropped, another endpoint is asked if the route allows it, and otherwise the connection is closed. A stream isn't resumed after an event with data and no id, since events would come twice.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -51,17 +51,31 @@
 		return false
 	}
 	f.mayHaveRun = true
-	if !a.Signed {
+	if f.isUseless(e, a) {
 		f.drop(sendCtx, cancel, e, a)
-		return f.rejectUnsigned(e, a)
+		return false
 	}
-	if a.Status >= 500 && f.route.Repeatable() && f.mayRetry() {
-		f.drop(sendCtx, cancel, e, a)
+	return f.deliver(ctx, e, a, onBegin)
+}
+
+// isUseless reports whether an answer of an endpoint that may have run the request isn't
+// forwarded, and logs why.
+func (f *flight) isUseless(e *buckthornpin.Endpoint, a *Answer) bool {
+	switch {
+	case !a.Signed:
+		f.log("unsigned").Str("endpoint", e.ID).Int("status", a.Status).Msg("answer has no usable signature")
+		if !f.route.Repeatable() {
+			f.sentCount = max(f.sentCount, f.route.MaxAttempts)
+		}
+	case a.Status >= http.StatusInternalServerError && f.route.Repeatable() && f.mayRetry():
 		f.router.tracker.RecordAnswer(e.ID, a.Status, time.Now())
 		f.log("endpoint_error").Str("endpoint", e.ID).Int("status", a.Status).Msg("endpoint answered with a server error, trying another one")
+	case f.answerBegun() && !isStream(a):
+		f.log("not_resumed").Str("endpoint", e.ID).Int("status", a.Status).Msg("endpoint doesn't go on with the stream")
+	default:
 		return false
 	}
-	return f.deliver(ctx, e, a, onBegin)
+	return true
 }
 
 // heavyPromptDivisor sets from which size on a prompt noticeably delays other requests:
@@ -111,16 +125,6 @@
 	f.log("attempt_failed").Str("endpoint", e.ID).Err(err).Msg("attempt got no answer")
 }
 
-// rejectUnsigned drops an answer without an endpoint's signature; it never reaches the
-// caller.
-func (f *flight) rejectUnsigned(e *buckthornpin.Endpoint, a *Answer) bool {
-	f.log("unsigned").Str("endpoint", e.ID).Int("status", a.Status).Msg("answer has no usable signature")
-	if !f.route.Repeatable() {
-		f.sentCount = max(f.sentCount, f.route.MaxAttempts)
-	}
-	return false
-}
-
 // bodyBuffer is the size in bytes of the buffer with which a stream is read.
 const bodyBuffer = 8 << 10
 
@@ -131,10 +135,6 @@
 	if isStream(a) {
 		return f.stream(ctx, e, a, onBegin)
 	}
-	if f.answerBegun() {
-		f.breakOff("not_resumed", e, errors.Errorf("endpoint answered %d where a stream should go on", a.Status))
-		return true
-	}
 	buffer := buffered{all: &f.router.buffers}
 	defer buffer.release()
 	err := buffer.readAll(a.Body)
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -48,6 +48,8 @@
 type streamProgress struct {
 	delivered int64
 	lastID    string
+	// unidentified is set if the last event had no id, so that the stream can't be resumed.
+	unidentified bool
 	// headerSent reports whether the header of the answer was sent.
 	headerSent bool
 }
--- a/relay/flight_test.go
+++ b/relay/flight_test.go
@@ -328,3 +328,19 @@
 		require.Equal(t, want, id)
 	}
 }
+
+// TestHasDataAfterLastID checks after which events a stream can't be resumed.
+func TestHasDataAfterLastID(t *testing.T) {
+	cases := map[string]bool{
+		"id: 1\ndata: x\n\n":                             false,
+		"data: x\n\n":                                    true,
+		"id: 1\ndata: x\n\ndata: y\n\n":                  true,
+		"data: x\n\nid: 2\ndata: y\n\n":                  false,
+		"id: 1\ndata: x\n\n: keep-alive\n\n":             false,
+		"id: 1\ndata: x\n\nevent: e\ndata: y\n\n: c\n\n": true,
+		": keep-alive\n\n":                               false,
+	}
+	for events, want := range cases {
+		require.Equal(t, want, hasDataAfterLastID([]byte(events)), events)
+	}
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"io"
+	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -21,8 +23,10 @@
 	maxEventBytes = 1 << 20
 )
 
+// isStream reports whether an answer is a stream of events. An error isn't, whatever its
+// content type: its text must not become a part of another endpoint's stream.
 func isStream(a *Answer) bool {
-	return strings.HasPrefix(a.Header.Get(contentType), eventStream)
+	return a.Status == http.StatusOK && strings.HasPrefix(a.Header.Get(contentType), eventStream)
 }
 
 // stream forwards events to the caller as they arrive, whole events only. A stream that
@@ -54,7 +58,7 @@
 		suspect.Parts = nil
 	}
 	f.router.Crashes.CheckEndpoint(e, suspect, time.Now())
-	if f.route.Resumable && f.sentCount < f.route.MaxAttempts {
+	if f.route.Resumable && !f.progress.unidentified && f.sentCount < f.route.MaxAttempts {
 		f.log("resuming").Str("endpoint", e.ID).Str("last_event", f.progress.lastID).Err(err).Msg("stream broke off")
 		return false
 	}
@@ -134,8 +138,9 @@
 	f.beginAnswer(a)
 	f.progress.delivered += int64(bytes.Count(events, eventEnd))
 	if id, ok := lastID(events); ok {
-		f.progress.lastID = id
+		f.progress.lastID, f.progress.unidentified = id, false
 	}
+	f.progress.unidentified = f.progress.unidentified || hasDataAfterLastID(events)
 	if err := f.reply.Write(events); err != nil {
 		return errors.Join(errCallerGone, err)
 	}
@@ -186,6 +191,24 @@
 	return idAt(events, at+len(idField)), true
 }
 
+// dataField precedes the data of an event: a line break and the name of the field.
+var dataField = []byte("\ndata")
+
+// hasDataAfterLastID reports whether an event with data and without an id follows the last id
+// among whole events. A stream can't be resumed after such an event.
+func hasDataAfterLastID(events []byte) bool {
+	blocks := bytes.Split(events, eventEnd)
+	for _, block := range slices.Backward(blocks) {
+		if _, ok := firstID(block); ok {
+			return false
+		}
+		if bytes.HasPrefix(block, dataField[1:]) || bytes.Contains(block, dataField) {
+			return true
+		}
+	}
+	return false
+}
+
 // idAt returns the id that begins at start and ends with its line.
 func idAt(events []byte, start int) string {
 	line, _, _ := bytes.Cut(events[start:], []byte("\n"))
