A success without a length and without a body is broken off

Reported by other operators: an endpoint stopped in the midst of its answer's head, and callers got a 200 with an empty or short body, framed as whole. Within a head that can't happen here; right behind it it could, on both carriers, if nothing stated where the body ends.

Cause: a body that ends with its connection is whole wherever that ends, so that an endpoint which stops after its head has sent a complete answer.

Change: a success whose body ends with its connection and of which no byte came is broken off; one that says that it is empty is passed on.

--- a/app/process.go
+++ b/app/process.go
@@ -233,6 +233,7 @@
 	endpoints := &endpt.Client{
 		HTTP: plainDialer.ExternalClient(), UnpooledHTTP: plainDialer.UnpooledClient(), Scheme: plainDialer.Scheme(), Secret: p.endpointSecret,
 		SilenceTimeout: time.Duration(s.Endpoint.Silence), MaxAnswerBytes: s.Endpoint.MaxAnswerBytes,
+		RefusesConnections: plainDialer.RefusesConnections,
 	}
 	p.router = &router.Router{
 		VM: s.VM, Zone: s.Zone, Control: p.batcher, Leases: p.leases, Directory: p.directory, Holders: p.gossip, Events: p.timeline, Log: p.Log,
--- a/conn/exchange.go
+++ b/conn/exchange.go
@@ -105,6 +105,13 @@
 	}
 }
 
+// Unframed reports whether the body ends with its connection, so that nothing but that shows
+// where it ends.
+func (r *Response) Unframed() bool {
+	body, _ := r.Body.(*pooledBody)
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0 && (body == nil || body.body != http.NoBody)
+}
+
 // errHeadTooLong is returned if the head of an answer exceeds maxHeadBytes.
 var errHeadTooLong = errors.New("head of the answer is too long")
 
@@ -187,8 +194,7 @@
 		return nil
 	}
 	r.connection = nil
-	framed := r.ContentLength >= 0 || len(r.TransferEncoding) > 0
-	reusable := b.whole && framed && !r.Close && c.allWritten() && c.reader.Buffered() == 0
+	reusable := b.whole && !r.Unframed() && !r.Close && c.allWritten() && c.reader.Buffered() == 0
 	if !reusable || !c.stopAfterFunc() {
 		c.discard()
 		return nil
--- a/endpt/client.go
+++ b/endpt/client.go
@@ -64,6 +64,9 @@
 	// ObserveLeaving is called if an answer says that its endpoint takes no new work; nil
 	// ignores that. The answer itself counts.
 	ObserveLeaving func(a Attempt)
+	// RefusesConnections reports whether nothing listens on an address; nil if that isn't
+	// checked.
+	RefusesConnections func(ctx context.Context, address string) bool
 
 	// repeating holds the incarnations of the endpoints whose answers repeat the id of the
 	// request, by address.
@@ -110,9 +113,36 @@
 	if int64(len(body)) > c.MaxAnswerBytes {
 		return nil, &Error{Op: "call", Kind: KindBroken, Err: errors.Errorf("answer is larger than %d bytes", c.MaxAnswerBytes)}
 	}
+	if err := c.checkEnd(ctx, res, a, len(body) == 0); err != nil {
+		return nil, err
+	}
 	return &Answer{Status: res.StatusCode, ContentType: res.Header.Get("Content-Type"), Body: body}, nil
 }
 
+// endCheckTimeout bounds the check whether an endpoint still accepts connections.
+const endCheckTimeout = 500 * time.Millisecond
+
+// checkEnd checks an answer that has been read to its end. If only the end of its connection
+// shows that it is whole, some of its body must have come, and the endpoint's process must not
+// have ended, unless the answer says that it is leaving.
+func (c *Client) checkEnd(ctx context.Context, res *http.Response, a Attempt, empty bool) error {
+	if res.ContentLength >= 0 || len(res.TransferEncoding) > 0 || res.Body == http.NoBody {
+		return nil
+	}
+	if empty && res.StatusCode < http.StatusMultipleChoices {
+		return &Error{Op: "call", Kind: KindBroken, Err: errors.New("answer without a length ended before its body")}
+	}
+	if c.RefusesConnections == nil || res.Header.Get(LeavingHeader) != "" {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
+	defer cancel()
+	if c.RefusesConnections(ctx, a.Endpoint.Address) {
+		return &Error{Op: "call", Kind: KindBroken, Err: errors.New("answer without a length ended, and its endpoint refuses connections")}
+	}
+	return nil
+}
+
 // do sends an attempt. Once it has a connection, bytes may have been sent, so the
 // attempt is treated as run unless the endpoint states otherwise.
 func (c *Client) do(ctx context.Context, a Attempt, method, path, contentType string) (*http.Response, error) {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -139,7 +139,7 @@
 	defer buffer.release()
 	err := buffer.readAll(a.Body)
 	if err == nil {
-		err = f.checkEnd(ctx, e, a)
+		err = f.checkEnd(ctx, e, a, buffer.length == 0)
 	}
 	if err != nil {
 		f.router.tracker.RecordFailure(e.ID, time.Now())
@@ -184,13 +184,24 @@
 	}
 }
 
-// errEndedWithEndpoint is returned if an answer without a length ended as its endpoint did.
-var errEndedWithEndpoint = errors.New("answer without a length ended, and its endpoint refuses connections")
+var (
+	// errNoBody is returned if nothing came of the body of a success without a length.
+	errNoBody = errors.New("answer without a length ended before its body")
+	// errEndedWithEndpoint is returned if an answer without a length ended as its endpoint did.
+	errEndedWithEndpoint = errors.New("answer without a length ended, and its endpoint refuses connections")
+)
 
 // checkEnd checks an answer that has been read to its end. If only the end of its connection
-// shows that it is whole, the endpoint's process must not have ended, unless it is leaving.
-func (f *flight) checkEnd(ctx context.Context, e *buckthornpin.Endpoint, a *Answer) error {
-	if !a.Unframed || a.Leaving || f.isLeaving(e) {
+// shows that it is whole, some of its body must have come, and the endpoint's process must not
+// have ended, unless it is leaving.
+func (f *flight) checkEnd(ctx context.Context, e *buckthornpin.Endpoint, a *Answer, empty bool) error {
+	if !a.Unframed {
+		return nil
+	}
+	if empty && a.Status < http.StatusMultipleChoices {
+		return errNoBody
+	}
+	if a.Leaving || f.isLeaving(e) {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -36,7 +36,7 @@
 	before := f.progress.delivered
 	err := f.forwardEvents(a, onBegin)
 	if err == nil {
-		err = f.checkEnd(ctx, e, a)
+		err = f.checkEnd(ctx, e, a, f.progress.delivered == before)
 	}
 	if err == nil {
 		f.beginAnswer(a)
