A plain answer of a model engine costs what it may hold

Cause: what was charged followed from the events of a stream, so that a plain answer gave the whole reservation back. Evidence: TestChargeFollowsTheEndpoint, a charge of 0 for all plain successes. Ruled out: that nothing is reserved for such routes (the account in the test has the reservation).

Change: a plain success costs its whole reservation, the prompt and the most output that the request allows, since nothing counts the tokens in it; without a body it costs the prompt.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -155,6 +155,9 @@
 	f.firstPartAt = time.Now()
 	onBegin()
 	f.recordAnswer(e, a)
+	if a.Status < http.StatusMultipleChoices {
+		f.plainSuccess, f.plainBytes = true, buffer.length
+	}
 	f.reply.Begin(a.Status, a.Header, buffer.length)
 	for _, chunk := range buffer.chunks {
 		if err := f.reply.Write(chunk); err != nil {
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -32,6 +32,10 @@
 	mayHaveRun bool
 	outcome    string
 	progress   streamProgress
+	// plainSuccess is set if a success that isn't a stream was sent to the caller, at least in
+	// part, and plainBytes is the size of its body.
+	plainSuccess bool
+	plainBytes   int64
 	// current is the latest attempt, otherLoad the load on its endpoint that other
 	// routers had reported, and firstPartAt when the first part of the answer arrived.
 	current     *route.Run
@@ -149,13 +153,19 @@
 
 // settle charges the organisation for the output that was delivered and, if there was
 // any, once for the prompt. A request costs nothing if none of its answer reached the
-// caller, whether an endpoint ran it or not.
+// caller, whether an endpoint ran it or not. The tokens in a plain answer can't be counted, so
+// that it costs the most that it may hold.
 func (f *flight) settle() {
 	if f.reserved == 0 {
 		return
 	}
 	spent := int64(0)
-	if f.progress.delivered > 0 {
+	switch {
+	case f.plainBytes > 0:
+		spent = f.reserved
+	case f.plainSuccess:
+		spent = f.request.Prompt.Tokens
+	case f.progress.delivered > 0:
 		spent = f.request.Prompt.Tokens + f.progress.delivered*f.service.Engine.EventTokens
 	}
 	f.router.Funds.Settle(f.owner.Name, f.reserved, min(spent, f.reserved))
--- a/relay/flight_test.go
+++ b/relay/flight_test.go
@@ -152,6 +152,8 @@
 			{Name: "once", Host: "h", PathPrefix: "/once/", Kind: site.KindNonIdempotent, Shares: []site.Share{{Service: "app", Weight: 1}}, Timeout: 200 * time.Millisecond, MaxAttempts: 3},
 			{Name: "safe", Host: "h", PathPrefix: "/safe/", Kind: site.KindIdempotent, Shares: []site.Share{{Service: "app", Weight: 1}}, Timeout: 200 * time.Millisecond, MaxAttempts: 2},
 			{Name: "chat", Host: "h", PathPrefix: "/chat/", Kind: site.KindStream, Shares: []site.Share{{Service: "llm", Weight: 1}}, Timeout: 200 * time.Millisecond, MaxAttempts: 2, Objective: time.Millisecond},
+			{Name: "draft", Host: "h", PathPrefix: "/draft/", Kind: site.KindNonIdempotent, Shares: []site.Share{{Service: "llm", Weight: 1}}, Timeout: 200 * time.Millisecond, MaxAttempts: 1},
+			{Name: "look", Host: "h", PathPrefix: "/look/", Kind: site.KindIdempotent, Shares: []site.Share{{Service: "llm", Weight: 1}}, Timeout: 200 * time.Millisecond, MaxAttempts: 1},
 			{Name: "resume", Host: "h", PathPrefix: "/resume/", Kind: site.KindStream, Shares: []site.Share{{Service: "llm", Weight: 1}}, Timeout: 200 * time.Millisecond, MaxAttempts: 2, Resumable: true},
 		},
 		Organisations: []site.Organisation{{Name: "fleet", Keys: []string{"k"}, Prepaid: 10_000}},
@@ -344,3 +346,39 @@
 		require.Equal(t, want, hasDataAfterLastID([]byte(events)), events)
 	}
 }
+
+// TestChargeFollowsTheEndpoint guards against answers of model engines that cost nothing because
+// they aren't streams: what is charged doesn't depend on the kind of the route or on the framing.
+func TestChargeFollowsTheEndpoint(t *testing.T) {
+	const prompt, whole = 100, 160
+	scenarios := []struct {
+		description string
+		answer      func() *Answer
+		spent       int64
+	}{
+		{"plain success", func() *Answer { return plain(200, "ok") }, whole},
+		{"plain success with another status", func() *Answer { return plain(201, "ok") }, whole},
+		{"empty success", func() *Answer { return plain(204, "") }, prompt},
+		{"long plain success", func() *Answer { return plain(200, strings.Repeat("x", 100_000)) }, whole},
+		{"plain success of a stream's type with another status", func() *Answer {
+			return answer(201, strings.NewReader(events("12")), http.Header{contentType: {eventStream}})
+		}, whole},
+		{"stream", func() *Answer { return stream(events("123")) }, prompt + 3*6},
+		{"stream without events", func() *Answer { return stream("") }, 0},
+		{"broken stream", func() *Answer { return brokenStream(events("12")) }, prompt + 2*6},
+		{"broken plain answer", func() *Answer { return answer(200, &breakingBody{strings.NewReader("o")}, http.Header{}) }, 0},
+		{"client error", func() *Answer { return plain(404, "no") }, 0},
+		{"server error", func() *Answer { return plain(500, "no") }, 0},
+		{"unsigned", unsigned, 0},
+		{"not run", notRun, 0},
+	}
+	for _, kind := range []string{"chat", "draft", "look"} {
+		for _, s := range scenarios {
+			t.Run(kind+"/"+s.description, func(t *testing.T) {
+				useEndpoints(t, &buckthornpin.Endpoint{ID: "e1", Capacity: 8})
+				_, _, funds := serve(t, "/"+kind+"/x", step{answer: s.answer()})
+				require.Equal(t, s.spent, funds.spent)
+			})
+		}
+	}
+}
