Crashes at four moments accuse a part, not at three

Cause: a sound part that had never been answered met such a crash at each of its first three uses, in different requests and at different engines. Three such uses look the same as those of a bad part. Ruled out: a router that lacks what others know (no router had an answer with the part).

Change: four moments instead of three, two of which remain without any single request. The quarantine of a whole request no longer explains its crashes: a request that is tried at three endpoints quarantines itself and took them from the evidence against its part.

--- a/route/quarantine.go
+++ b/route/quarantine.go
@@ -21,7 +21,9 @@
 	// it is quarantined.
 	requestCrashes = 3
 	// partCrashes is the number of moments at which endpoints have to crash under a part.
-	partCrashes = 3
+	partCrashes = 4
+	// remainingCrashes is the number of these that have to remain without any single request.
+	remainingCrashes = 2
 	// inseparableCrashes is the number of moments after which parts that only occur
 	// together are quarantined together.
 	inseparableCrashes = 5
--- a/route/verdict.go
+++ b/route/verdict.go
@@ -16,15 +16,18 @@
 	return q.begin(begun, q.nextHold(request, open.records, now), now)
 }
 
-// explanations holds the subjects in quarantine that were suspects of a crash.
+// explanations holds the parts in quarantine that were suspects of a crash.
 type explanations map[*crashRecord][]Subject
 
-// explanations returns the crashes that quarantines explain.
+// explanations returns the crashes that quarantines of parts explain. That of a whole request
+// explains nothing: the request may have crashed endpoints because of one of its parts.
 func (q *Quarantine) explanations() explanations {
 	out := explanations{}
 	for s := range q.holds {
 		for _, r := range q.crashes.bySubject[s] {
-			out[r] = append(out[r], s)
+			if slices.ContainsFunc(r.Suspects, func(k Suspect) bool { return slices.Contains(k.Parts, s) }) {
+				out[r] = append(out[r], s)
+			}
 		}
 	}
 	return out
@@ -50,7 +53,7 @@
 }
 
 // unanswered returns the crashes under a subject since the last answer with it, as far as this
-// router can know of answers. Those under another subject in quarantine are explained by that.
+// router can know of answers. Those under another part in quarantine are explained by that.
 func (q *Quarantine) unanswered(s Subject, explained explanations) openCrashes {
 	o := openCrashes{}
 	o.records = slices.DeleteFunc(q.crashes.with(s), func(r *crashRecord) bool {
@@ -103,8 +106,8 @@
 	return n
 }
 
-// severalRequests reports whether crashes at all but one of the moments that a verdict takes
-// remain without any single request that has the part. Otherwise that request may be to blame.
+// severalRequests reports whether crashes at remainingCrashes moments remain without any
+// single request that has the part. Otherwise that request may be to blame.
 // A request that is a suspect of one crash only can't explain more than one moment.
 func severalRequests(records []*crashRecord, part Subject) bool {
 	crashes := map[Subject]int{}
@@ -116,7 +119,7 @@
 		}
 	}
 	for request, n := range crashes {
-		if n > 1 && moments(without(records, request)) < partCrashes-1 {
+		if n > 1 && moments(without(records, request)) < remainingCrashes {
 			return false
 		}
 	}
