route: one memory of answers, looked up once for each subject

Cause, from reading the change again: what was answered was kept in two fields of the quarantine whose times were put together by it; a subject's key was hashed up to six times for each answer, on the way of every request; each generation of the memory was allocated anew; conditions on what is known of a part stood where it is always false, and comments said what held before.

Change: answers holds both memories and gives the last time; the key is made once; a generation takes over the memory of the one before the last; dead conditions go, comments follow. Ruled out: one memory for both kinds (requests that come once would displace the parts).

--- a/route/answers.go
+++ b/route/answers.go
@@ -14,11 +14,19 @@
 )
 
 // answers remembers when a request, or a part of prompts, last ran to a complete answer, by
-// the version of the endpoint that gave it.
+// the version of the endpoint that gave it. Requests and parts are apart, since most requests
+// come only once and would displace the parts.
 type answers struct {
-	// current and previous are two generations, so that old entries go without a search.
-	current, previous map[answerKey]time.Time
-	startedAt         time.Time
+	requests, parts answerTimes
+}
+
+// last returns the time of the last answer, or zero if none is known.
+func (a *answers) last(k answerKey) time.Time {
+	part, request := a.parts.last(k), a.requests.last(k)
+	if request.After(part) {
+		return request
+	}
+	return part
 }
 
 // answerKey hashes a version together with a subject.
@@ -28,19 +36,34 @@
 	return answerKey(mix(xxhash.Sum64String(version) ^ mix(uint64(s))))
 }
 
+// answerTimes are the times of the last answers of a bounded number of subjects.
+type answerTimes struct {
+	// current and previous are two generations, so that old entries go without a search.
+	current, previous map[answerKey]time.Time
+	startedAt         time.Time
+}
+
 // add remembers an answer at a time.
-func (a *answers) add(version string, s Subject, at, now time.Time) {
+func (a *answerTimes) add(k answerKey, at, now time.Time) {
 	if a.current == nil || len(a.current) >= maxAnswered || now.Sub(a.startedAt) > answerMemory {
-		a.current, a.previous, a.startedAt = map[answerKey]time.Time{}, a.current, now
+		a.rotate(now)
 	}
-	if at.After(a.last(version, s)) {
-		a.current[newAnswerKey(version, s)] = at
+	if at.After(a.last(k)) {
+		a.current[k] = at
 	}
 }
 
-// last returns the time of the last answer, or zero if none is known.
-func (a *answers) last(version string, s Subject) time.Time {
-	k := newAnswerKey(version, s)
+// rotate begins a generation in the memory of the one before the last.
+func (a *answerTimes) rotate(now time.Time) {
+	oldest := a.previous
+	if oldest == nil {
+		oldest = map[answerKey]time.Time{}
+	}
+	clear(oldest)
+	a.current, a.previous, a.startedAt = oldest, a.current, now
+}
+
+func (a *answerTimes) last(k answerKey) time.Time {
 	if at, ok := a.current[k]; ok {
 		return at
 	}
--- a/route/quarantine.go
+++ b/route/quarantine.go
@@ -11,10 +11,10 @@
 
 // A request that crashes each endpoint which runs it must not reach all of them. The cause
 // may be the request as a whole or a part of its prompt. Either is held responsible if it
-// was among the suspects of several crashes, and no answer with it was completed since the
-// first of them. What crashes each endpoint is never answered. Sound requests that are alike,
-// and parts that sound requests share, are answered all the time. A part also has to be a
-// suspect at different moments and in different requests.
+// was among the suspects of several crashes and their version has never completed an answer
+// with it: what crashes each endpoint is never answered. Sound requests that are alike, and
+// parts that sound requests share, are answered all the time. A part also has to be a suspect
+// at different moments and in different requests.
 
 const (
 	// requestCrashes is the number of endpoints that have to crash under a request before
@@ -22,7 +22,8 @@
 	requestCrashes = 3
 	// partCrashes is the number of moments at which endpoints have to crash under a part.
 	partCrashes = 4
-	// remainingCrashes is the number of these that have to remain without any single request.
+	// remainingCrashes is the number of these moments that have to remain when the crashes of
+	// any single request are left out.
 	remainingCrashes = 2
 	// inseparableCrashes is the number of moments after which parts that only occur
 	// together are quarantined together.
@@ -88,13 +89,11 @@
 	mu sync.Mutex
 	// since is when this router began to record answers. Whether a subject was answered
 	// before that isn't known, so that earlier crashes prove nothing here.
-	since   time.Time
-	crashes crashLog
-	// answeredParts and answeredRequests are apart, since most requests come only once and
-	// would displace the parts.
-	answeredParts, answeredRequests answers
-	holds                           map[Subject]*hold
-	cleared                         map[Subject]clearance
+	since    time.Time
+	crashes  crashLog
+	answered answers
+	holds    map[Subject]*hold
+	cleared  map[Subject]clearance
 }
 
 // RecordCrash records a crash, seen here or reported by another router. It returns the
@@ -133,11 +132,11 @@
 	defer q.mu.Unlock()
 	q.start(now)
 	var released []Subject
-	if q.clear(&q.answeredRequests, Clearance{Subject: s.Request, Version: version, AnsweredAt: now}, now) {
+	if q.clear(&q.answered.requests, Clearance{Subject: s.Request, Version: version, AnsweredAt: now}, now) {
 		released = append(released, s.Request)
 	}
 	for _, p := range s.Parts {
-		if q.clear(&q.answeredParts, Clearance{Subject: p, Version: version, AnsweredAt: now}, now) {
+		if q.clear(&q.answered.parts, Clearance{Subject: p, Version: version, AnsweredAt: now}, now) {
 			released = append(released, p)
 		}
 	}
@@ -151,7 +150,7 @@
 	defer q.mu.Unlock()
 	q.start(now)
 	for _, c := range clearances {
-		if q.clear(&q.answeredParts, c, now) {
+		if q.clear(&q.answered.parts, c, now) {
 			released = append(released, c.Subject)
 		}
 	}
@@ -236,18 +235,15 @@
 
 // lastAnswer returns the time of the last answer with a subject, or zero if none is known.
 func (q *Quarantine) lastAnswer(version string, s Subject) time.Time {
-	part, request := q.answeredParts.last(version, s), q.answeredRequests.last(version, s)
-	if request.After(part) {
-		return request
-	}
-	return part
+	return q.answered.last(newAnswerKey(version, s))
 }
 
 // clear records an answer in known. It is passed on to other routers if it clears a suspect.
 // clear reports whether it ends a quarantine.
-func (q *Quarantine) clear(known *answers, c Clearance, now time.Time) bool {
-	before := q.lastAnswer(c.Version, c.Subject)
-	known.add(c.Version, c.Subject, c.AnsweredAt, now)
+func (q *Quarantine) clear(known *answerTimes, c Clearance, now time.Time) bool {
+	k := newAnswerKey(c.Version, c.Subject)
+	before := q.answered.last(k)
+	known.add(k, c.AnsweredAt, now)
 	if slices.ContainsFunc(q.crashes.bySubject[c.Subject], func(r *crashRecord) bool {
 		return r.Version == c.Version && r.At.After(before) && c.AnsweredAt.After(r.At)
 	}) {
--- a/route/verdict.go
+++ b/route/verdict.go
@@ -46,9 +46,8 @@
 type openCrashes struct {
 	records []*crashRecord
 	moments int
-	// version is the version of the endpoint that crashed last.
-	version string
-	// known reports whether an answer with the subject was ever completed by that version.
+	// known reports whether the version of the endpoint that crashed last has ever completed
+	// an answer with the subject.
 	known bool
 }
 
@@ -61,13 +60,13 @@
 	})
 	o.moments = moments(o.records)
 	if o.moments > 0 {
-		o.version = o.records[len(o.records)-1].Version
-		o.known = !q.lastAnswer(o.version, s).IsZero()
+		o.known = !q.lastAnswer(o.records[len(o.records)-1].Version, s).IsZero()
 	}
 	return o
 }
 
-// judgePart quarantines a part if it is the one that the crashes have in common.
+// judgePart quarantines a part if it is the one that the crashes have in common, unless an
+// answer with it was ever completed by their version.
 func (q *Quarantine) judgePart(begun []Hold, part Subject, open evidence, now time.Time) []Hold {
 	if open[part].moments == 0 || open[part].known || !q.onTrial(part, now) && !open.blames(part) {
 		return begun
@@ -75,7 +74,8 @@
 	return q.begin(begun, q.nextHold(part, open[part].records, now), now)
 }
 
-// blames reports whether a part explains the crashes better than all other parts.
+// blames reports whether a part that was never answered explains the crashes better than all
+// other parts.
 func (e evidence) blames(part Subject) bool {
 	own := e[part]
 	if own.moments < partCrashes {
@@ -83,9 +83,8 @@
 	}
 	for rival, other := range e {
 		switch {
-		case rival == part || other.moments < own.moments:
-		case other.known && !own.known:
-		case own.moments >= inseparableCrashes && own.known == other.known && onlyTogether(other.records, rival, part):
+		case rival == part || other.known || other.moments < own.moments:
+		case own.moments >= inseparableCrashes && onlyTogether(other.records, rival, part):
 		default:
 			return false
 		}
@@ -106,9 +105,9 @@
 	return n
 }
 
-// severalRequests reports whether crashes at remainingCrashes moments remain without any
-// single request that has the part. Otherwise that request may be to blame.
-// A request that is a suspect of one crash only can't explain more than one moment.
+// severalRequests reports whether crashes at remainingCrashes moments remain when those of any
+// single request that has the part are left out. Otherwise that request may be to blame. A
+// suspect of one crash only can't explain more than one moment.
 func severalRequests(records []*crashRecord, part Subject) bool {
 	crashes := map[Subject]int{}
 	for _, r := range records {
