One rule for answers that end with their connection, one way to record that an answer broke off

Cause, from reading the change again: relay and endpt each had the rule of when an answer without a length is whole, and conn's test of its framing stood twice. The steps after an answer that broke off stood at three places in relay, which is how the crash in a plain answer came to be missed; the end of a request's attempts stood at three as well. Two fields held what one cost does. Each piece of a stream was split into its events to look for an id, with an allocation.

Change: buckthornpin.UnframedEnd is the rule for both carriers, conn.Unframed the test; recordBreak and forbidRepetition in relay; plainCost. The search for data behind the last id allocates nothing. A plain answer that breaks off because its caller has left doesn't count against the endpoint any more, as with all other ways. An endpoint that repeats ids is stored once, not with each answer (`repeating` is now `echoing`). Ruled out: the rule in conn (the carriers share their statements in the root package).

--- a/conn/exchange.go
+++ b/conn/exchange.go
@@ -57,10 +57,18 @@
 	*http.Response
 	// Reused is set if the connection has carried an earlier exchange. Bytes that are left
 	// of it may look like an answer.
-	Reused     bool
+	Reused bool
+	// Unframed is set if the body ends with its connection.
+	Unframed   bool
 	connection *Connection
 }
 
+// Unframed reports whether the body of an answer ends with its connection, so that nothing else
+// shows where it ends.
+func Unframed(r *http.Response) bool {
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Body != http.NoBody
+}
+
 // Exchange sends a request, given as its bytes, and reads the headers of the answer. An
 // error that is ErrNotSent means that no byte of the request was sent. The end of ctx
 // ends the exchange, also while the body is read.
@@ -99,19 +107,12 @@
 		if r.StatusCode >= 100 && r.StatusCode < 200 && r.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
-		out := &Response{Response: r, Reused: c.reused, connection: c}
+		out := &Response{Response: r, Reused: c.reused, Unframed: Unframed(r), connection: c}
 		r.Body = &pooledBody{body: r.Body, response: out}
 		return out, nil
 	}
 }
 
-// Unframed reports whether the body ends with its connection, so that nothing but that shows
-// where it ends.
-func (r *Response) Unframed() bool {
-	body, _ := r.Body.(*pooledBody)
-	return r.ContentLength < 0 && len(r.TransferEncoding) == 0 && (body == nil || body.body != http.NoBody)
-}
-
 // errHeadTooLong is returned if the head of an answer exceeds maxHeadBytes.
 var errHeadTooLong = errors.New("head of the answer is too long")
 
@@ -194,7 +195,7 @@
 		return nil
 	}
 	r.connection = nil
-	reusable := b.whole && !r.Unframed() && !r.Close && c.allWritten() && c.reader.Buffered() == 0
+	reusable := b.whole && !r.Unframed && !r.Close && c.allWritten() && c.reader.Buffered() == 0
 	if !reusable || !c.stopAfterFunc() {
 		c.discard()
 		return nil
--- a/endpt/client.go
+++ b/endpt/client.go
@@ -15,6 +15,7 @@
 	"github.com/go-faster/errors"
 
 	"buckthornpin"
+	"buckthornpin/conn"
 )
 
 const (
@@ -64,13 +65,12 @@
 	// ObserveLeaving is called if an answer says that its endpoint takes no new work; nil
 	// ignores that. The answer itself counts.
 	ObserveLeaving func(a Attempt)
-	// RefusesConnections reports whether nothing listens on an address; nil if that isn't
-	// checked.
+	// RefusesConnections reports whether nothing listens on an address.
 	RefusesConnections func(ctx context.Context, address string) bool
 
-	// repeating holds the incarnations of the endpoints whose answers repeat the id of the
-	// request, by address.
-	repeating sync.Map
+	// echoing holds the incarnations of the endpoints whose answers have repeated the id of
+	// the request and the number of the attempt, by address.
+	echoing sync.Map
 }
 
 // Chat sends an attempt to a model engine and returns the stream of its answer. The
@@ -119,26 +119,14 @@
 	return &Answer{Status: res.StatusCode, ContentType: res.Header.Get("Content-Type"), Body: body}, nil
 }
 
-// endCheckTimeout bounds the check whether an endpoint still accepts connections.
-const endCheckTimeout = 500 * time.Millisecond
-
-// checkEnd checks an answer that has been read to its end. If only the end of its connection
-// shows that it is whole, some of its body must have come, and the endpoint's process must not
-// have ended, unless the answer says that it is leaving.
+// checkEnd checks an answer that has been read to its end.
 func (c *Client) checkEnd(ctx context.Context, res *http.Response, a Attempt, empty bool) error {
-	if res.ContentLength >= 0 || len(res.TransferEncoding) > 0 || res.Body == http.NoBody {
+	if !conn.Unframed(res) {
 		return nil
 	}
-	if empty && res.StatusCode < http.StatusMultipleChoices {
-		return &Error{Op: "call", Kind: KindBroken, Err: errors.New("answer without a length ended before its body")}
-	}
-	if c.RefusesConnections == nil || res.Header.Get(LeavingHeader) != "" {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
-	defer cancel()
-	if c.RefusesConnections(ctx, a.Endpoint.Address) {
-		return &Error{Op: "call", Kind: KindBroken, Err: errors.New("answer without a length ended, and its endpoint refuses connections")}
+	end := buckthornpin.UnframedEnd{Address: a.Endpoint.Address, Status: res.StatusCode, Empty: empty, Leaving: res.Header.Get(LeavingHeader) != ""}
+	if err := end.Check(ctx, c.RefusesConnections); err != nil {
+		return &Error{Op: "call", Kind: KindBroken, Err: err}
 	}
 	return nil
 }
@@ -165,7 +153,7 @@
 	if c.ObserveLeaving != nil && res.Header.Get(LeavingHeader) != "" {
 		c.ObserveLeaving(a)
 	}
-	if err := c.checkRequest(res, a, connection.Load()); err != nil {
+	if err := c.checkEcho(res, a, connection.Load()); err != nil {
 		return nil, err
 	}
 	l := buckthornpin.ParseStatedLimit(res.Header.Get(LimitHeader))
@@ -176,14 +164,16 @@
 	return res, checkStatus(res, a)
 }
 
-// checkRequest returns an error of KindMismatch, and closes the connection, if an answer may
+// checkEcho returns an error of KindMismatch, and closes the connection, if an answer may
 // belong to another attempt: it repeats another id, or none on a connection that was used
 // before. An endpoint may write an earlier answer once more. If it says that it didn't run
 // that one, this attempt may be running.
-func (c *Client) checkRequest(res *http.Response, a Attempt, on *httptrace.GotConnInfo) error {
+func (c *Client) checkEcho(res *http.Response, a Attempt, on *httptrace.GotConnInfo) error {
 	id, number := res.Header.Get(RequestHeader), res.Header.Get(AttemptHeader)
 	if id == a.RequestID && number == strconv.Itoa(a.Number) {
-		c.repeating.Store(a.Endpoint.Address, a.Endpoint.Incarnation)
+		if !c.echoes(a.Endpoint) {
+			c.echoing.Store(a.Endpoint.Address, a.Endpoint.Incarnation)
+		}
 		return nil
 	}
 	if id == "" && !on.Reused {
@@ -194,6 +184,12 @@
 	return &Error{Op: "run", Kind: KindMismatch, Err: errors.Errorf("endpoint %s: answer to request %q, attempt %q", a.Endpoint.ID, id, number)}
 }
 
+// echoes reports whether an incarnation of an endpoint is known to repeat ids.
+func (c *Client) echoes(e buckthornpin.Endpoint) bool {
+	incarnation, ok := c.echoing.Load(e.Address)
+	return ok && incarnation == e.Incarnation
+}
+
 // observePause passes on the pause that an endpoint asks for. A plain service's own 503 is an
 // answer to the caller, and so is its Retry-After.
 func (c *Client) observePause(res *http.Response, a Attempt) {
@@ -211,8 +207,7 @@
 // to an endpoint that isn't known to repeat the ids of requests, since an answer may be left
 // on a pooled one.
 func (c *Client) client(a Attempt) *http.Client {
-	incarnation, ok := c.repeating.Load(a.Endpoint.Address)
-	if a.Request.NonIdempotent || !ok || incarnation != a.Endpoint.Incarnation {
+	if a.Request.NonIdempotent || !c.echoes(a.Endpoint) {
 		return c.UnpooledHTTP
 	}
 	return c.HTTP
--- a/endpt/cut_answer_test.go
+++ b/endpt/cut_answer_test.go
@@ -1,7 +1,6 @@
 package endpt_test
 
 import (
-	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -9,7 +8,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"buckthornpin/conn"
 	"buckthornpin/endpt"
 	"buckthornpin/stand"
 )
@@ -50,9 +48,6 @@
 				e, c := startRaw(t, func(*http.Request, int) (string, stand.Ending) {
 					return "HTTP/1.1 200 OK\r\n" + echo("r1", 1) + headers + "\r\nok", end
 				})
-				c.RefusesConnections = func(ctx context.Context, address string) bool {
-					return (&conn.Dialer{}).RefusesConnections(ctx, address)
-				}
 				require.Equal(t, want, run(t, c, newAttempt(e, "r1", 1, targets["service"])) == nil)
 			})
 		}
--- a/endpt/stale_answer_test.go
+++ b/endpt/stale_answer_test.go
@@ -23,6 +23,7 @@
 	d := &conn.Dialer{}
 	c := &endpt.Client{
 		HTTP: d.ExternalClient(), UnpooledHTTP: d.UnpooledClient(), Scheme: "http", Secret: func() string { return "" }, MaxAnswerBytes: 1 << 10,
+		RefusesConnections: d.RefusesConnections,
 	}
 	t.Cleanup(func() {
 		c.HTTP.CloseIdleConnections()
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -64,9 +64,7 @@
 	switch {
 	case !a.Signed:
 		f.log("unsigned").Str("endpoint", e.ID).Int("status", a.Status).Msg("answer has no usable signature")
-		if !f.route.Repeatable() {
-			f.sentCount = max(f.sentCount, f.route.MaxAttempts)
-		}
+		f.forbidRepetition()
 	case a.Status >= http.StatusInternalServerError && f.route.Repeatable() && f.mayRetry():
 		f.router.tracker.RecordAnswer(e.ID, a.Status, time.Now())
 		f.log("endpoint_error").Str("endpoint", e.ID).Int("status", a.Status).Msg("endpoint answered with a server error, trying another one")
@@ -109,22 +107,41 @@
 
 // recordFailure handles an attempt that got no answer.
 func (f *flight) recordFailure(ctx context.Context, e *buckthornpin.Endpoint, err error) {
-	if ctx.Err() == nil {
-		f.router.tracker.RecordFailure(e.ID, time.Now())
-	}
-	if !notSent(err) {
+	if notSent(err) {
+		f.recordUnsent(ctx, e)
+	} else {
 		f.sentCount++
 		f.mayHaveRun = true
-		if !f.route.Repeatable() {
-			f.sentCount = max(f.sentCount, f.route.MaxAttempts)
-		}
-		if ctx.Err() == nil {
-			f.router.Crashes.CheckEndpoint(e, f.suspect, time.Now())
-		}
+		f.forbidRepetition()
+		f.recordBreak(ctx, e)
 	}
 	f.log("attempt_failed").Str("endpoint", e.ID).Err(err).Msg("attempt got no answer")
 }
 
+// recordUnsent records that a request couldn't be sent to an endpoint, unless it was given up.
+func (f *flight) recordUnsent(ctx context.Context, e *buckthornpin.Endpoint) {
+	if ctx.Err() == nil {
+		f.router.tracker.RecordFailure(e.ID, time.Now())
+	}
+}
+
+// recordBreak records that an endpoint's answer broke off, unless the request was given up, and
+// has the endpoint checked for a crash.
+func (f *flight) recordBreak(ctx context.Context, e *buckthornpin.Endpoint) {
+	if ctx.Err() == nil {
+		now := time.Now()
+		f.router.tracker.RecordFailure(e.ID, now)
+		f.router.Crashes.CheckEndpoint(e, f.suspect, now)
+	}
+}
+
+// forbidRepetition ends the attempts of a request that may have run and may not be repeated.
+func (f *flight) forbidRepetition() {
+	if !f.route.Repeatable() {
+		f.sentCount = max(f.sentCount, f.route.MaxAttempts)
+	}
+}
+
 // bodyBuffer is the size in bytes of the buffer with which a stream is read.
 const bodyBuffer = 8 << 10
 
@@ -142,21 +159,16 @@
 		err = f.checkEnd(ctx, e, a, buffer.length == 0)
 	}
 	if err != nil {
-		f.router.tracker.RecordFailure(e.ID, time.Now())
-		if ctx.Err() == nil {
-			f.router.Crashes.CheckEndpoint(e, f.suspect, time.Now())
-		}
+		f.recordBreak(ctx, e)
 		f.log("broken").Str("endpoint", e.ID).Err(err).Msg("answer broke off")
-		if !f.route.Repeatable() {
-			f.sentCount = max(f.sentCount, f.route.MaxAttempts)
-		}
+		f.forbidRepetition()
 		return false
 	}
 	f.firstPartAt = time.Now()
 	onBegin()
 	f.recordAnswer(e, a)
 	if a.Status < http.StatusMultipleChoices {
-		f.plainSuccess, f.plainBytes = true, buffer.length
+		f.plainCost = f.costOfPlain(buffer.length)
 	}
 	f.reply.Begin(a.Status, a.Header, buffer.length)
 	for _, chunk := range buffer.chunks {
@@ -187,32 +199,13 @@
 	}
 }
 
-var (
-	// errNoBody is returned if nothing came of the body of a success without a length.
-	errNoBody = errors.New("answer without a length ended before its body")
-	// errEndedWithEndpoint is returned if an answer without a length ended as its endpoint did.
-	errEndedWithEndpoint = errors.New("answer without a length ended, and its endpoint refuses connections")
-)
-
-// checkEnd checks an answer that has been read to its end. If only the end of its connection
-// shows that it is whole, some of its body must have come, and the endpoint's process must not
-// have ended, unless it is leaving.
+// checkEnd checks an answer that has been read to its end.
 func (f *flight) checkEnd(ctx context.Context, e *buckthornpin.Endpoint, a *Answer, empty bool) error {
 	if !a.Unframed {
 		return nil
 	}
-	if empty && a.Status < http.StatusMultipleChoices {
-		return errNoBody
-	}
-	if a.Leaving || f.isLeaving(e) {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
-	defer cancel()
-	if f.router.Endpoints.RefusesConnections(ctx, e.Address) {
-		return errEndedWithEndpoint
-	}
-	return nil
+	end := buckthornpin.UnframedEnd{Address: e.Address, Status: a.Status, Empty: empty, Leaving: a.Leaving || f.isLeaving(e)}
+	return end.Check(ctx, f.router.Endpoints.RefusesConnections)
 }
 
 // isLeaving reports whether an endpoint has said by now that it is leaving.
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -32,10 +32,8 @@
 	mayHaveRun bool
 	outcome    string
 	progress   streamProgress
-	// plainSuccess is set if a success that isn't a stream was sent to the caller, at least in
-	// part, and plainBytes is the size of its body.
-	plainSuccess bool
-	plainBytes   int64
+	// plainCost is what a success that isn't a stream costs, in tokens; 0 if there is none.
+	plainCost int64
 	// current is the latest attempt, otherLoad the load on its endpoint that other
 	// routers had reported, and firstPartAt when the first part of the answer arrived.
 	current     *route.Run
@@ -153,24 +151,27 @@
 
 // settle charges the organisation for the output that was delivered and, if there was
 // any, once for the prompt. A request costs nothing if none of its answer reached the
-// caller, whether an endpoint ran it or not. The tokens in a plain answer can't be counted, so
-// that it costs the most that it may hold.
+// caller, whether an endpoint ran it or not.
 func (f *flight) settle() {
 	if f.reserved == 0 {
 		return
 	}
-	spent := int64(0)
-	switch {
-	case f.plainBytes > 0:
-		spent = f.reserved
-	case f.plainSuccess:
-		spent = f.request.Prompt.Tokens
-	case f.progress.delivered > 0:
+	spent := f.plainCost
+	if f.progress.delivered > 0 {
 		spent = f.request.Prompt.Tokens + f.progress.delivered*f.service.Engine.EventTokens
 	}
 	f.router.Funds.Settle(f.owner.Name, f.reserved, min(spent, f.reserved))
 }
 
+// costOfPlain returns what a plain answer costs whose body has a size in bytes. Its output can't
+// be counted, so that it costs the most that the request allows.
+func (f *flight) costOfPlain(bytes int64) int64 {
+	if bytes == 0 {
+		return f.request.Prompt.Tokens
+	}
+	return f.reserved
+}
+
 // attempts sends the request to one endpoint after another until it has its final
 // answer or may not be retried.
 func (f *flight) attempts(ctx context.Context) {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -52,8 +51,7 @@
 		f.breakOff("timeout_or_gone", e, err)
 		return true
 	}
-	f.router.tracker.RecordFailure(e.ID, time.Now())
-	f.router.Crashes.CheckEndpoint(e, f.suspect, time.Now())
+	f.recordBreak(ctx, e)
 	if f.route.Resumable && !f.progress.unidentified && f.sentCount < f.route.MaxAttempts {
 		f.log("resuming").Str("endpoint", e.ID).Str("last_event", f.progress.lastID).Err(err).Msg("stream broke off")
 		return false
@@ -193,16 +191,10 @@
 // hasDataAfterLastID reports whether an event with data and without an id follows the last id
 // among whole events. A stream can't be resumed after such an event.
 func hasDataAfterLastID(events []byte) bool {
-	blocks := bytes.Split(events, eventEnd)
-	for _, block := range slices.Backward(blocks) {
-		if _, ok := firstID(block); ok {
-			return false
-		}
-		if bytes.HasPrefix(block, dataField[1:]) || bytes.Contains(block, dataField) {
-			return true
-		}
+	if at := bytes.LastIndex(events, idField); at >= 0 || bytes.HasPrefix(events, idField[1:]) {
+		_, events, _ = bytes.Cut(events[max(at, 0):], eventEnd)
 	}
-	return false
+	return bytes.HasPrefix(events, dataField[1:]) || bytes.Contains(events, dataField)
 }
 
 // idAt returns the id that begins at start and ends with its line.
