platform/ names what it needs; conn remembers announcements and matches answers

Cause, from reading the change again: platform/ decided which incarnation a call is from, which answers on a connection count and which connections are used again. It translates and decides nothing. The check that a connection with a refusal isn't kept had no effect besides: its body isn't read.

Ruled out: reading it with the others that are dropped (TestRefusalOfTheSameIDOnAKeptConnection fails then, tried on a copy).

--- a/app/fleet_servers.go
+++ b/app/fleet_servers.go
@@ -77,7 +77,8 @@
 		out = append(out, servedAddress{name: "ready", address: platform.ReadyAddress, server: &http.Server{Handler: platf.ReadyHandler(p.Ready), ReadHeaderTimeout: callerHeaderTimeout}})
 	} else {
 		s := &platf.ControlServer{Control: &platformControl{process: p}, Log: p.Log, Timeout: controlTimeout}
-		server := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: callerHeaderTimeout, ConnContext: platf.ConnContext}
+		server := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: callerHeaderTimeout}
+		conn.RememberIncarnations(server)
 		out = append(out, servedAddress{name: "control", address: platform.ControlAddress, server: server})
 	}
 	mesh := &http.Server{Handler: internal, Protocols: new(http.Protocols), ReadHeaderTimeout: callerHeaderTimeout}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -47,6 +47,8 @@
 		f.router.Directory.MarkLeaving(e.ID, e.Incarnation)
 	}
 	if a.NotRun || a.Misdirected {
+		// The body isn't read, so that the connection isn't used again: the endpoint may write
+		// the refusal once more, and the caller may send its request again under the same id.
 		f.log("not_run").Str("endpoint", e.ID).Int("status", a.Status).Msg("endpoint didn't run the request")
 		return false
 	}
