peer: one wait with a bound, and nothing exported that only the package uses

Cause, from reading the change again: push and round had the same goroutine and channel to wait with a bound; three methods of Nodes were exported for the package itself. Ruled out: a change of what is waited for (waitAtMost has the same bound). Measured: tests of peer pass with the race detector before and after.

--- a/peer/leave.go
+++ b/peer/leave.go
@@ -73,11 +73,6 @@
 			}
 		})
 	}
-	ended := make(chan struct{})
-	go func() {
-		wg.Wait()
-		close(ended)
-	}()
-	waitFor(ended, pushTimeout)
+	waitAtMost(pushTimeout, wg.Wait)
 	return routers.Load()
 }
--- a/peer/leave_test.go
+++ b/peer/leave_test.go
@@ -142,14 +142,14 @@
 	m.meet()
 	m.control.round(ctx, time.Now())
 	for _, n := range m.routers {
-		require.True(t, m.control.Nodes.Compared(n.Nodes.Self.Address))
+		require.True(t, m.control.Nodes.isCompared(n.Nodes.Self.Address))
 	}
 
 	m.control.Directory.Leave("engine", 0)
 	for len(m.control.Directory.NextUpdates()) > 0 {
 	}
 	for _, n := range m.routers {
-		m.control.Nodes.SetCompared(n.Nodes.Self.Address, false)
+		m.control.Nodes.setCompared(n.Nodes.Self.Address, false)
 	}
 	m.control.round(ctx, time.Now())
 	m.requireLeft()
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -137,7 +137,7 @@
 	for i, address := range targets {
 		r := request
 		firstOfSeveral := i == 0 && m.rounds%meshCompareRounds == 1
-		notCompared := m.Nodes.Self.Control && !m.Nodes.Compared(address)
+		notCompared := m.Nodes.Self.Control && !m.Nodes.isCompared(address)
 		if noControlKnown || firstOfSeveral || notCompared {
 			r = m.newRequest(request.GetEndpoints(), limitStates(m.Limits.All()))
 			r.Nodes = m.Nodes.States()
@@ -149,17 +149,19 @@
 			}
 		})
 	}
-	ended := make(chan struct{})
-	go func() {
+	waitAtMost(roundTimeout, func() {
 		wg.Wait()
 		roundTrip.ended()
-		close(ended)
-	}()
-	waitFor(ended, roundTimeout)
+	})
 }
 
-// waitFor waits until ended is closed, but no longer than d.
-func waitFor(ended <-chan struct{}, d time.Duration) {
+// waitAtMost runs wait and returns when it does, but no later than after d. wait goes on then.
+func waitAtMost(d time.Duration, wait func()) {
+	ended := make(chan struct{})
+	go func() {
+		wait()
+		close(ended)
+	}()
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
@@ -249,7 +251,7 @@
 	defer cancel()
 	reply, err := m.client(address).Tell(ctx, r)
 	if err != nil {
-		m.Nodes.SetCompared(address, false)
+		m.Nodes.setCompared(address, false)
 		return false
 	}
 	m.Nodes.Merge(reply.GetNodes(), time.Now())
@@ -263,7 +265,7 @@
 		full := m.newRequest(m.Directory.States(), limitStates(m.Limits.All()))
 		full.Nodes = m.Nodes.States()
 		if _, err := m.client(address).Tell(ctx, full); err != nil {
-			m.Nodes.SetCompared(address, false)
+			m.Nodes.setCompared(address, false)
 			return true
 		}
 	}
@@ -275,8 +277,8 @@
 
 // recordCompared records that this process and another one know the same endpoints.
 func (m *Mesh) recordCompared(address string) {
-	m.Nodes.SetCompared(address, true)
-	if m.Nodes.IsRouter(address) {
+	m.Nodes.setCompared(address, true)
+	if m.Nodes.isRouter(address) {
 		m.comparedWithRouter.Store(true)
 	}
 }
--- a/peer/nodes.go
+++ b/peer/nodes.go
@@ -166,9 +166,9 @@
 	}
 }
 
-// SetCompared records whether this process and another one have compared what they know of
+// setCompared records whether this process and another one have compared what they know of
 // endpoints.
-func (n *Nodes) SetCompared(address string, compared bool) {
+func (n *Nodes) setCompared(address string, compared bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if k := n.known[address]; k != nil {
@@ -176,17 +176,17 @@
 	}
 }
 
-// Compared reports what SetCompared has recorded, and false for a process that has started
+// isCompared reports what setCompared has recorded, and false for a process that has started
 // since.
-func (n *Nodes) Compared(address string) bool {
+func (n *Nodes) isCompared(address string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	k := n.known[address]
 	return k != nil && k.compared
 }
 
-// IsRouter reports whether a router is known at an address.
-func (n *Nodes) IsRouter(address string) bool {
+// isRouter reports whether a router is known at an address.
+func (n *Nodes) isRouter(address string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	k := n.known[address]
