--- a/review/stand-2/caller.go
+++ b/review/stand-2/caller.go
@@ -29,8 +29,9 @@
 // streamClient serves callers of streams. Each of their requests has a channel of its own.
 var streamClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
 
-// askStream sends one request for a stream to a router and reads the answer to its end.
-func (f *fleet) askStream(v *vm, path, parts string, tokens int, deadline time.Duration) answer {
+// askStream sends one request for a stream to a router and reads the answer to its end. parts and
+// tokens are its headers Prompt-Prefix and Token-Count.
+func (f *fleet) askStream(v *vm, path, parts, tokens string, deadline time.Duration) answer {
 	a := answer{id: fmt.Sprintf("attempt-%d", attempts.Add(1))}
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
@@ -42,7 +43,7 @@
 	q.Host = host
 	for name, value := range map[string]string{
 		"Attempt-Id": a.id, "Api-Key": tenantKey, "Deadline-Ms": fmt.Sprint(deadline.Milliseconds()), "Model": "m",
-		"Token-Count": fmt.Sprintf("%d,120", tokens), "Prompt-Prefix": parts,
+		"Token-Count": tokens, "Prompt-Prefix": parts,
 	} {
 		q.Header.Set(name, value)
 	}
--- a/review/stand-2/crash_batches.go
+++ b/review/stand-2/crash_batches.go
@@ -114,7 +114,7 @@
 					first = crashingPart
 				}
 				parts := fmt.Sprintf("%s:800,d%d:300,e%d:100", first, b*batchSize+i, b*batchSize+i)
-				f.record.line("batch %d: %v", b, f.askStream(routers[i%len(routers)], "/draft/", parts, 1200, 8*time.Second))
+				f.record.line("batch %d: %v", b, f.askStream(routers[i%len(routers)], "/draft/", parts, "1200,120", 8*time.Second))
 			})
 		}
 		wg.Wait()
@@ -144,7 +144,7 @@
 			case <-ticker.C:
 			}
 			wg.Go(func() {
-				a := f.askStream(routers[n%len(routers)], "/draft/", fmt.Sprintf("f%d:800,ab%d:100", n%5, n), 900, 8*time.Second)
+				a := f.askStream(routers[n%len(routers)], "/draft/", fmt.Sprintf("f%d:800,ab%d:100", n%5, n), "900,120", 8*time.Second)
 				mu.Lock()
 				defer mu.Unlock()
 				all++
--- a/review/stand-2/engine.go
+++ b/review/stand-2/engine.go
@@ -180,6 +180,11 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if e.service == modelService && exceedsMemory(r) {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if e.onRequest != nil {
 		e.onRequest(e, r)
 	}
@@ -223,6 +228,18 @@
 	}
 }
 
+// memoryTokens is the memory of a model engine, as the desired state names it.
+const memoryTokens = 444_000
+
+// exceedsMemory reports whether a request is larger at its most than an engine's memory. Such a
+// request is rejected as if the engine were full.
+func exceedsMemory(r *http.Request) bool {
+	prompt, output, _ := strings.Cut(r.Header.Get("Token-Count"), ",")
+	in, err := strconv.ParseUint(prompt, 10, 63)
+	out, err2 := strconv.ParseUint(output, 10, 63)
+	return err != nil || err2 != nil || in+out > memoryTokens
+}
+
 // partsOf returns the ids of the parts of a request's prompt.
 func partsOf(r *http.Request) []string {
 	var out []string
--- a/review/stand-2/operator.go
+++ b/review/stand-2/operator.go
@@ -161,7 +161,7 @@
 		},
 		Services: []service{
 			{Name: plainService, HealthPath: "/health", MaxConnections: 96, Protocol: "h1"},
-			{Name: modelService, HealthPath: "/health", MaxConnections: 290, Protocol: "h1", Engine: &engine{Slots: 48, Capacity: 444000, Stride: 6}},
+			{Name: modelService, HealthPath: "/health", MaxConnections: 290, Protocol: "h1", Engine: &engine{Slots: 48, Capacity: memoryTokens, Stride: 6}},
 		},
 		Limits:  limits{MaxHeaderBytes: 16384, MaxBodyBytes: 4 << 20, HeaderTimeoutMS: 3000, IdleTimeoutMS: 15000},
 		Tenants: []tenant{{Name: "cafe", Keys: []string{tenantKey}, Prepaid: 100_000_000}},
--- a/review/stand-2/truncated_stream.go
+++ b/review/stand-2/truncated_stream.go
@@ -73,7 +73,7 @@
 		wg.Go(func() {
 			time.Sleep(time.Duration(i) * 20 * time.Millisecond)
 			parts := fmt.Sprintf("a%d:800,b%d:200", i, attempts.Load())
-			out[i] = f.askStream(routers[i%len(routers)], "/draft/", parts, 1000, 8*time.Second)
+			out[i] = f.askStream(routers[i%len(routers)], "/draft/", parts, "1000,120", 8*time.Second)
 			f.record.line("%v", out[i])
 		})
 	}
