--- a/review/stand-2/fleet.go
+++ b/review/stand-2/fleet.go
@@ -101,7 +101,7 @@
 		"platform": map[string]any{
 			"enabled": true, "ip": v.ip, "caller_address": callers, "ready_address": ready, "control_address": control,
 			"mesh_port": f.mesh, "metrics_port": f.metrics, "seeds": strings.Join(f.seeds, ","), "first_start": firstStart,
-			"memory_mb": 280, "link_mbps": 1000.0, "heartbeat": heartbeat.String(), "contact": contact.String(),
+			"memory_mb": memoryMB, "link_mbps": 1000.0, "heartbeat": heartbeat.String(), "contact": contact.String(),
 			"catch_up": catchUp.String(), "grace": grace.String(), "retry_ratio": 0.2, "retry_slack": 52.0, "retry_window": "10s",
 		},
 	}, "", " ")
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -20,10 +20,11 @@
 
 // cases are the cases by their numbers. Each returns whether the rule was broken.
 var cases = map[string]func(f *fleet, trouble bool) (bool, error){
-	"6": controlReplaced,
-	"7": overspentBudget,
-	"8": truncatedStream,
-	"9": crashBatches,
+	"6":  controlReplaced,
+	"7":  overspentBudget,
+	"8":  truncatedStream,
+	"9":  crashBatches,
+	"10": largeBodies,
 }
 
 func main() {
