--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -22,9 +22,9 @@
 var cases = map[string]func(f *fleet, trouble bool) (bool, error){
 	"6":  controlReplaced,
 	"7":  overspentBudget,
-	"8":  truncatedStream,
-	"9":  crashBatches,
-	"10": largeBodies,
+	"8":  largeBodies,
+	"9":  truncatedStream,
+	"10": crashBatches,
 }
 
 func main() {
