ctrl: a replica whose vote doesn't count yet doesn't look like a voter

The group never elects a leader again after the second of three lost disks.

Cause: status shows the role in the term, which is follower for a learner and for a replica that joins in place of another. The test waits until the first VM "is a voter again", is told follower with a leader, and empties the leader's disk 0.2 s later: two of three voters are lost at once, which no group bears.

Ruled out: lost votes or log.

Change: status says learner or joining until the vote counts by itself; member list names joining and leaving members too (both showed as voters). The tests' wait is unchanged and is now what its comment says.

--- a/app/view_commands.go
+++ b/app/view_commands.go
@@ -10,6 +10,7 @@
 	"github.com/google/subcommands"
 
 	"buckthornpin"
+	"buckthornpin/ctrl"
 	"buckthornpin/event"
 	"buckthornpin/oper"
 	"buckthornpin/wire"
@@ -271,8 +272,13 @@
 	}
 	for _, e := range m.GetMembers() {
 		role := "voter"
-		if e.GetLearner() {
-			role = "learner"
+		switch {
+		case e.GetLearner():
+			role = ctrl.RoleLearner
+		case e.GetJoining():
+			role = ctrl.RoleJoining
+		case e.GetLeaving():
+			role = "leaving"
 		}
 		_, _ = fmt.Fprintf(c.Out, "%s\t%s\t%s\n", e.GetId(), e.GetAddress(), role)
 	}
--- a/ctrl/replica.go
+++ b/ctrl/replica.go
@@ -93,7 +93,9 @@
 
 // Status is a replica's view of itself and its group.
 type Status struct {
-	ID      string        `json:"id"`
+	ID string `json:"id"`
+	// Role is the role in the current term or, of a replica whose vote doesn't count yet, the
+	// kind of its membership; see statusRole.
 	Role    string        `json:"role"`
 	Leader  string        `json:"leader"`
 	Term    uint64        `json:"term"`
@@ -411,7 +413,7 @@
 // publishStatus makes the current status visible and reports a change of the leader.
 func (r *Replica) publishStatus() {
 	s := &Status{
-		ID: r.node.ID, Role: r.node.Role().String(), Leader: r.node.Leader(), Term: r.node.Term(),
+		ID: r.node.ID, Role: statusRole(r.node.ID, r.node.Role(), r.node.Members()), Leader: r.node.Leader(), Term: r.node.Term(),
 		Commit: r.node.Committed(), Applied: r.applied, Members: r.node.Members(),
 	}
 	old := r.status.Swap(s)
