--- a/integ/fleet_body_test.go
+++ b/integ/fleet_body_test.go
@@ -167,7 +167,8 @@
 	outcomes := map[string]int{}
 	for _, a := range f.observed.attemptsOf("head-office", began) {
 		outcomes[fmt.Sprintf("%d %v %s", a.status, a.complete, lastBytes(a.detail, 100))]++
-		require.True(t, a.status == 0 || a.complete, "an answer that has begun isn't cut: %+v", a)
+		require.NotZero(t, a.status, "every caller reads its answer or refusal: %s", a.detail)
+		require.True(t, a.complete, "an answer that has begun isn't cut: %+v", a)
 	}
 	t.Logf("crowd: %v", outcomes)
 	f.requireNoViolations()
