Callers that don't read their answers are given up after the request's deadline

What was seen (by a test): a caller that reads nothing keeps the answer's memory, its reservation and a place at the endpoint for as long as it keeps its connection.

Cause: writes to callers had no deadline; the request's context ends the exchange with the endpoint only. A plain answer gave its place at the endpoint back after it was delivered, not when the endpoint had done its work.

Ruled out: TCP_USER_TIMEOUT, which isn't set on callers' connections and wouldn't end one whose window is closed and whose peer acknowledges.

Change: the caller has to have taken the whole answer 5 s after the request's deadline; answers that are ready are still delivered late. A plain answer ends its run when it has been read.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -193,6 +193,7 @@
 		f.plainCost = f.costOfPlain(buffer.Len())
 	}
 	f.request.Body.Release()
+	f.current.End()
 	f.reply.Begin(a.Status, a.Header, buffer.Len())
 	for _, piece := range buffer.Pieces() {
 		if err := f.reply.Write(piece); err != nil {
--- a/relay/flight.go
+++ b/relay/flight.go
@@ -56,6 +56,10 @@
 	headerSent bool
 }
 
+// slowReaderTime is the time after a request's deadline in which its caller may still take the
+// answer.
+const slowReaderTime = 5 * time.Second
+
 func (f *flight) run(ctx context.Context) {
 	if !f.admit() {
 		return
@@ -65,6 +69,7 @@
 	} else {
 		f.deadline = f.request.Deadline
 	}
+	f.reply.SetDeadline(f.deadline.Add(slowReaderTime))
 	ctx, cancel := context.WithDeadline(ctx, f.deadline)
 	defer cancel()
 	if f.refuseStopping() || !f.reserveBudget(ctx) {
--- a/relay/flight_test.go
+++ b/relay/flight_test.go
@@ -57,6 +57,7 @@
 	leaving []string
 }
 
+func (r *callerRecorder) SetDeadline(time.Time)                                {}
 func (r *callerRecorder) Refuse(f Refusal)                                     { r.refusal = f }
 func (r *callerRecorder) Begin(status int, _ http.Header, _ int64)             { r.status = status }
 func (r *callerRecorder) Write(p []byte) error                                 { r.body.Write(p); return nil }
--- a/relay/request.go
+++ b/relay/request.go
@@ -118,6 +118,8 @@
 
 // Reply sends the answer to the caller.
 type Reply interface {
+	// SetDeadline sets when the caller has to have taken the whole answer.
+	SetDeadline(t time.Time)
 	// Refuse sends a refusal as the final answer.
 	Refuse(r Refusal)
 	// Begin sends the status and header of an endpoint's answer. The length of the body is
