Large configurations and messages that come at once stay within a process's memory

Cause: a bound for each message, none for all. Calls in progress hold the document as it came, decoded, and encoded for the leader.

Change: conn.MessageLimiter takes three times a message's size from the process's account before it is read; 503 otherwise. Calls have a part of their own (a quarter; one alone may always take what is free), so that messages between processes find room.

--- a/app/fleet_servers.go
+++ b/app/fleet_servers.go
@@ -13,6 +13,7 @@
 	"buckthornpin/conn"
 	"buckthornpin/ctrl"
 	"buckthornpin/health"
+	"buckthornpin/memory"
 	platf "buckthornpin/platform"
 	"buckthornpin/relay"
 	"buckthornpin/store"
@@ -37,7 +38,7 @@
 		if err != nil {
 			return nil, &Error{Op: "open operators' interface", Kind: KindSetup, Err: err}
 		}
-		served = append(served, servedAddress{name: "operators", address: p.Settings.Operator.Address, server: &http.Server{Handler: h, ReadHeaderTimeout: callerHeaderTimeout}})
+		served = append(served, servedAddress{name: "operators", address: p.Settings.Operator.Address, server: &http.Server{Handler: p.limitMessages(memory.UseCall, h), ReadHeaderTimeout: callerHeaderTimeout}})
 	}
 	for _, s := range served {
 		l, err := net.Listen("tcp", s.address)
@@ -77,11 +78,11 @@
 		out = append(out, servedAddress{name: "ready", address: platform.ReadyAddress, server: &http.Server{Handler: platf.ReadyHandler(p.Ready), ReadHeaderTimeout: callerHeaderTimeout}})
 	} else {
 		s := &platf.ControlServer{Control: &platformControl{process: p}, Log: p.Log, Timeout: controlTimeout}
-		server := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: callerHeaderTimeout}
+		server := &http.Server{Handler: p.limitMessages(memory.UseCall, s.Handler()), ReadHeaderTimeout: callerHeaderTimeout}
 		conn.RememberIncarnations(server)
 		out = append(out, servedAddress{name: "control", address: platform.ControlAddress, server: server})
 	}
-	mesh := &http.Server{Handler: internal, Protocols: new(http.Protocols), ReadHeaderTimeout: callerHeaderTimeout}
+	mesh := &http.Server{Handler: p.limitMessages(memory.UseMessage, internal), Protocols: new(http.Protocols), ReadHeaderTimeout: callerHeaderTimeout}
 	mesh.Protocols.SetHTTP1(true)
 	mesh.Protocols.SetUnencryptedHTTP2(true)
 	mesh.HTTP2 = &http.HTTP2Config{SendPingTimeout: time.Duration(platform.Contact) / 4, PingTimeout: time.Duration(platform.Contact) / 2}
@@ -95,6 +96,11 @@
 	return out
 }
 
+// limitMessages bounds the memory that messages take which a handler receives.
+func (p *PlatformProcess) limitMessages(u memory.Use, h http.Handler) http.Handler {
+	return &conn.MessageLimiter{Account: p.memory, Use: u, Handler: h}
+}
+
 // processReady reports whether the process is ready: a router by Ready, a control
 // replica always.
 func (p *PlatformProcess) processReady() bool { return p.router == nil || p.Ready() }
--- a/memory/account.go
+++ b/memory/account.go
@@ -16,10 +16,11 @@
 const (
 	// smallDivisor sets the part that is kept for requests and their small bodies.
 	smallDivisor = 4
-	// answerDivisor, eventDivisor and messageDivisor set the largest parts of their uses.
-	answerDivisor  = 2
-	eventDivisor   = 8
-	messageDivisor = 2
+	// answerDivisor, eventDivisor and callDivisor set the largest parts of their uses. Calls leave
+	// room for the messages that they need.
+	answerDivisor = 2
+	eventDivisor  = 8
+	callDivisor   = 4
 	// spareDivisor sets the largest part of bodies that are kept in case a stream has to be
 	// resumed.
 	spareDivisor = 4
@@ -141,12 +142,15 @@
 		return false
 	case r.use == UseBody:
 		return owner.large == r.own || owner.large+r.bytes <= largeFreeFactor*sharedFree
+	case r.use == UseCall && a.used[UseCall] == r.own:
+		// A single call may take more, so that none is too large at any time.
+		return true
 	}
 	return a.used[r.use]+r.bytes <= a.Size/largestPart[r.use]
 }
 
 // largestPart holds the largest part of each use without an owner, as a divisor of the size.
-var largestPart = [useCount]int64{UseAnswer: answerDivisor, UseEvent: eventDivisor, UseMessage: messageDivisor}
+var largestPart = [useCount]int64{UseAnswer: answerDivisor, UseEvent: eventDivisor, UseMessage: 1, UseCall: callDivisor}
 
 // holdTimeWeight is the weight of the latest value in the mean time that large bodies are held.
 const holdTimeWeight = 0.125
--- a/memory/account_test.go
+++ b/memory/account_test.go
@@ -280,7 +280,7 @@
 	case 0, 1:
 		g.take(op, arg, n)
 	case 2:
-		c := g.account.Claim(Use(1 + arg%4))
+		c := g.account.Claim(Use(1 + arg%5))
 		c.Resize(n)
 		g.claims = append(g.claims, c)
 	case 3:
--- a/memory/use.go
+++ b/memory/use.go
@@ -12,12 +12,14 @@
 	UseAnswer
 	// UseEvent is an event of a stream that isn't whole yet.
 	UseEvent
-	// UseMessage is a message of another process of the system, an endpoint or an operator.
+	// UseMessage is a message of another process of the system.
 	UseMessage
+	// UseCall is a call of an endpoint or an operator. It may need a message to be carried out.
+	UseCall
 	useCount
 )
 
-var useNames = [useCount]string{"body", "request", "answer", "event", "message"}
+var useNames = [useCount]string{"body", "request", "answer", "event", "message", "call"}
 
 // isOwned reports whether room for a use is taken for an organisation.
 func (u Use) isOwned() bool { return u == UseBody || u == UseRequest }
