The soak sends large bodies and reads slowly, and watches each process's memory

Change: two kinds of faults more (a crowd with bodies of up to 4 MB, with and without a stated length, fast and slow, on streams of 2.4 s; 60 callers of one router that don't read answers of 12 MB), and each process's peak is checked against its VM's 112 MB until the faults are over. Recorded seeds draw from the kinds of their time, so they replay as before. Endpoints check that the body which they get is the caller's.

--- a/integ/fleet_body_test.go
+++ b/integ/fleet_body_test.go
@@ -85,15 +85,16 @@
 	return n, nil
 }
 
-// isBodyOf reads a body and reports whether it is the one of the request with the given id. The
-// error is that of the connection.
-func isBodyOf(id string, body io.Reader) (bool, error) {
-	data, err := io.ReadAll(body)
+// isBodyOf reads the body of a request and reports whether it is the one of the request with the
+// given id. The error is that of the connection.
+func isBodyOf(id string, r *http.Request) (bool, error) {
+	data, err := io.ReadAll(r.Body)
 	if err != nil {
 		return false, err
 	}
 	want := strings.Repeat(id, len(data)/len(id)+1)[:len(data)]
-	return len(data) > 0 && bytes.Equal(data, []byte(want)), nil
+	hasBody := r.Method == http.MethodPost
+	return (len(data) > 0) == hasBody && bytes.Equal(data, []byte(want)), nil
 }
 
 // maxBodyBytes is the size limit in the fleet's configuration.
@@ -120,7 +121,7 @@
 	var all sync.WaitGroup
 	for n := range int(span / interval) {
 		c := &fleetCaller{
-			fleet: f, organisation: organisation, random: rand.New(rand.NewPCG(1, uint64(n))), router: v, body: crowdBodies(n, random),
+			fleet: f, organisation: organisation, random: rand.New(rand.NewPCG(1, uint64(n))), router: v, body: crowdBodies(n, random), slow: true,
 			http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 		}
 		kind := []string{"chat", "resume", "safe"}[n%3]
@@ -148,9 +149,6 @@
 func TestLargeBodiesStayWithinMemory(t *testing.T) {
 	f := startFleet(t, fleetPlan{controls: 3, routers: 1, modelEndpoints: 6, plainEndpoints: 6, prepaid: amplePrepaid})
 	router := f.routers[0]
-	for _, e := range f.endpoints {
-		e.eventInterval = 300 * time.Millisecond
-	}
 	began := time.Now()
 	ctx, stop := context.WithCancel(f.ctx)
 	var others sync.WaitGroup
--- a/integ/fleet_caller_test.go
+++ b/integ/fleet_caller_test.go
@@ -99,6 +99,8 @@
 	prompt relay.Prompt
 	// body is the body of the requests.
 	body bodyPlan
+	// slow asks for streams that take seconds.
+	slow bool
 }
 
 // requestKinds are the names of the routes. Chat and resume are streams, of which resume
@@ -170,7 +172,7 @@
 func (c *fleetCaller) exchange(ctx context.Context, a *attempt) {
 	ctx, cancel := context.WithTimeout(ctx, 6*time.Second)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.router.settings.Platform.CallerAddress+"/"+a.kind+"/x", c.body.reader(ctx, a.id))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.router.settings.Platform.CallerAddress+"/"+a.kind+"/"+c.lastSegment(), c.body.reader(ctx, a.id))
 	if err != nil {
 		a.detail = err.Error()
 		return
@@ -203,6 +205,14 @@
 	a.checkAnswer(string(data), answer)
 }
 
+// lastSegment returns the end of a request's path.
+func (c *fleetCaller) lastSegment() string {
+	if c.slow {
+		return slowStreamPath
+	}
+	return "x"
+}
+
 // promptParts returns the parts of a prompt, of which the last belongs to the request alone.
 func (c *fleetCaller) promptParts() []route.PromptPart {
 	shared := c.parts
--- a/integ/fleet_engine_test.go
+++ b/integ/fleet_engine_test.go
@@ -66,6 +66,9 @@
 
 const (
 	defaultEventInterval = 5 * time.Millisecond
+	// slowEventInterval is that of requests whose path ends with slowStreamPath.
+	slowEventInterval = 300 * time.Millisecond
+	slowStreamPath    = "slow"
 	// plainServiceTime is long enough for a crash to hit requests in progress.
 	plainServiceTime = 30 * time.Millisecond
 	eventsPerStream  = 8
@@ -253,7 +256,7 @@
 	}
 	defer e.running.Add(-1)
 	began := time.Now()
-	whole, err := isBodyOf(q.ID, r.Body)
+	whole, err := isBodyOf(q.ID, r)
 	e.fleet.observed.recordExecution(execution{id: q.ID, endpoint: e, organisation: q.Organisation, at: began, key: q.Key, otherBody: err == nil && !whole})
 	if err != nil {
 		return
@@ -285,6 +288,10 @@
 	defer timer.Stop()
 	select {
 	case <-timer.C:
+		if strings.HasSuffix(r.URL.Path, longAnswerPath) {
+			_, _ = w.Write(bytes.Repeat([]byte("x"), longAnswerBytes))
+			return
+		}
 		_, _ = w.Write([]byte(plainAnswer(q.ID)))
 	case <-r.Context().Done():
 	}
@@ -351,7 +358,11 @@
 		e.crashUnder(q.ID)
 		panic(http.ErrAbortHandler)
 	}
-	tick := time.NewTicker(e.eventInterval)
+	interval := e.eventInterval
+	if strings.HasSuffix(r.URL.Path, slowStreamPath) {
+		interval = slowEventInterval
+	}
+	tick := time.NewTicker(interval)
 	defer tick.Stop()
 	for i := after + 1; i <= eventsPerStream; i++ {
 		select {
--- a/integ/soak_test.go
+++ b/integ/soak_test.go
@@ -40,6 +40,7 @@
 var soakCases = []soakCase{
 	{104, 15, "asked a process to stop 90 ms after its start, before it listened to signals"},
 	{111, 15, "all processes killed while an endpoint is replaced and just after a router was cut off"},
+	{4009, 18, "large bodies at a router that outgrew its memory (69d7305)"},
 }
 
 // TestSoak replays the recorded seeds, so that each run of the tests repeats these
@@ -94,7 +95,7 @@
 }
 
 // faultKindCount is the number of entries of soak.faults.
-const faultKindCount = 16
+const faultKindCount = 18
 
 func runSoak(t *testing.T, seed uint64, faultKinds int) {
 	prepaid := map[string]int64{"head-office": 50_000_000, "portmore": 20_000_000, "small": 60_000}
@@ -105,6 +106,7 @@
 	end := s.startLoad(3, 40*time.Millisecond, seed)
 	s.startBackground(s.readConfiguration)
 	s.began = time.Now()
+	s.checkMemory()
 	for range meanFaults/2 + s.random.IntN(meanFaults) {
 		s.planRandomFault(faultKinds)
 	}
@@ -178,7 +180,7 @@
 	return []func(at, span time.Duration){
 		s.killOne, s.killOne, s.stopOne, s.killAll, s.wipeDisk, s.freezeOne, s.cutRouters, s.cutOne, s.dropReplies,
 		s.crashEndpoint, s.failSomeRequests, s.replaceEndpoint, s.changeConfiguration, s.changeConfiguration, s.sendHangup,
-		s.resendOlder,
+		s.resendOlder, s.sendLargeBodies, s.readSlowly,
 	}
 }
 
--- a/memory/account_test.go
+++ b/memory/account_test.go
@@ -248,6 +248,7 @@
 func FuzzAccount(f *testing.F) {
 	f.Add([]byte{0, 200, 1, 2, 3, 4, 5, 6, 7, 8, 9, 0, 250, 4, 0, 250, 4, 0, 250})
 	f.Add(bytes.Repeat([]byte{0, 255, 16, 255, 4, 20, 36, 6}, 20))
+	f.Add(bytes.Repeat([]byte{0, 17, 8, 17, 16, 17, 24, 17}, 60))
 	f.Fuzz(func(t *testing.T, steps []byte) {
 		g := &accountGame{t: t, account: &Account{Size: 16 * mb}}
 		for len(steps) >= 2 {
--- a/memory/buffer.go
+++ b/memory/buffer.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
 // Buffer is the content of a body or an answer. It has one holder, who may lend it to others. Its
@@ -74,7 +76,7 @@
 		switch {
 		case b.length > b.limit:
 			return b.length - start, &Error{Op: "read", Kind: KindTooLong}
-		case err == io.EOF:
+		case errors.Is(err, io.EOF):
 			b.trim()
 			return b.length - start, nil
 		case err != nil:
--- a/relay/slow_reader_test.go
+++ b/relay/slow_reader_test.go
@@ -77,7 +77,7 @@
 	}
 }
 
-func (s *slowReaderSite) open(ctx context.Context) {
+func (s *slowReaderSite) open() {
 	shares := []site.Share{{Service: "s", Weight: 1}}
 	c := site.Configuration{
 		Version: 1, Services: []site.Service{{Name: "s", Engine: &site.Engine{Slots: 8, EventTokens: 1}}},
@@ -112,7 +112,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				s := &slowReaderSite{}
 				ctx, stop := context.WithCancel(t.Context())
-				s.open(ctx)
+				s.open()
 				c, err := s.network.Dial(ctx, nil, "callers")
 				require.NoError(t, err)
 				r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://h"+path, bytes.NewReader(make([]byte, 500_000)))
