--- a/conn/message_limiter.go
+++ b/conn/message_limiter.go
@@ -60,8 +60,11 @@
 	if n <= max(m.counted, smallMessageBytes) {
 		return true
 	}
+	if !m.claim.Resize(n * messageFactor) {
+		return false
+	}
 	m.counted = n
-	return m.claim.Resize(n * messageFactor)
+	return true
 }
 
 // Read implements io.Reader.
