relay: admission builds a log line only for what it turns away

Cause: Admit began a log line for each request, also those that it admits, and left it unsent: an allocation of the line's buffer on every request. Found while reading the change.

Change: the line is built where a request is turned away. The organisation isn't logged where it isn't known (a body that fails while it is read).

Ruled out: a change of what is logged; the fields of each refusal are the same.

--- a/relay/admission.go
+++ b/relay/admission.go
@@ -65,23 +65,22 @@
 		return r.sendElsewhere(v, Refusal{Reason: ReasonNoConfiguration, RetryAfter: defaultRetryAfter}, r.Log.Info())
 	}
 	matched := t.Route(q.Host, q.Path)
-	line := r.Log.Info().Int64("version", t.Version)
 	if matched == nil {
-		return r.turnAway(v, Refusal{Reason: ReasonNoRoute}, line)
+		return r.turnAway(v, Refusal{Reason: ReasonNoRoute}, r.Log.Info().Int64("version", t.Version))
 	}
-	line = line.Str("route", matched.Name)
+	line := func() *zerolog.Event { return r.Log.Info().Int64("version", t.Version).Str("route", matched.Name) }
 	owner, known := keyOwner(t, matched, q.Key)
 	switch {
 	case !known:
-		return r.turnAway(v, Refusal{Reason: ReasonUnknownKey}, line)
+		return r.turnAway(v, Refusal{Reason: ReasonUnknownKey}, line())
 	case v.ContentLength > v.MaxBodyBytes:
-		return r.sendElsewhere(v, Refusal{Reason: ReasonTooLarge}, line.Int64("limit", v.MaxBodyBytes))
+		return r.sendElsewhere(v, Refusal{Reason: ReasonTooLarge}, line().Int64("limit", v.MaxBodyBytes))
 	case r.Guard != nil && !r.Guard.Admits(v.ContentLength, matched.Objective, v.At):
 		return r.sendElsewhere(v, Refusal{Reason: ReasonOverload, RetryAfter: retryElsewhereAfter},
-			line.Dur("lag_ms", r.Guard.SchedulingDelay()).Dur("link_ms", v.At.Sub(q.Arrived)))
+			line().Dur("lag_ms", r.Guard.SchedulingDelay()).Dur("link_ms", v.At.Sub(q.Arrived)))
 	}
 	if err := r.takeRoom(v, ownerName(owner)); err != nil {
-		return r.sendElsewhere(v, r.memoryRefusal(q, v.ContentLength), r.logMemory(line, owner))
+		return r.sendElsewhere(v, r.memoryRefusal(q, v.ContentLength), r.logMemory(line().Str("organisation", ownerName(owner))))
 	}
 	a := Admission{BodyDeadline: q.Arrived.Add(matched.Timeout)}
 	if v.ContentLength > memory.SmallBytes {
@@ -158,9 +157,9 @@
 }
 
 // logMemory adds the state of the process's memory to a log line.
-func (r *Router) logMemory(line *zerolog.Event, owner *site.Organisation) *zerolog.Event {
+func (r *Router) logMemory(line *zerolog.Event) *zerolog.Event {
 	u := r.Memory.Usage()
-	return line.Str("organisation", ownerName(owner)).Int64("held", u.Held).Int64("large", u.Large).Int64("limit", u.Size)
+	return line.Int64("held", u.Held).Int64("large", u.Large).Int64("limit", u.Size)
 }
 
 // RefuseBody returns the refusal of an admitted request whose body couldn't be read. All its
@@ -173,7 +172,7 @@
 		f.Reason = ReasonTooLarge
 	case errors.Is(err, memory.ErrFull):
 		f = r.memoryRefusal(q, memory.SmallBytes)
-		line = r.logMemory(line, nil)
+		line = r.logMemory(line)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		f.Reason = ReasonSlowBody
 	}
