--- a/integ/soak_test.go
+++ b/integ/soak_test.go
@@ -106,10 +106,10 @@
 	end := s.startLoad(3, 40*time.Millisecond, seed)
 	s.startBackground(s.readConfiguration)
 	s.began = time.Now()
-	s.checkMemory()
 	for range meanFaults/2 + s.random.IntN(meanFaults) {
 		s.planRandomFault(faultKinds)
 	}
+	s.checkMemory()
 	s.runSteps()
 	s.endAllFaults()
 	s.requireRecovery("the faults")
