--- a/memory/buffer.go
+++ b/memory/buffer.go
@@ -132,22 +132,27 @@
 	if large && b.stated < 0 {
 		size = max(size, min(2*b.size, roomFor(b.limit)))
 	}
+	if !b.resize(size, large) {
+		return false
+	}
+	b.size, b.large = size, large
+	return true
+}
+
+// resize takes the room between the buffer's size and a larger one. What a small body has moves to
+// the part of large ones when it becomes large. The caller holds the account's mutex.
+func (b *Buffer) resize(size int64, large bool) bool {
+	a := b.account
 	if large == b.large {
 		r := b.room(size - b.size)
 		r.own = b.size
-		return a.take(r) && b.setSize(size, large)
+		return a.take(r)
 	}
-	// What a small body has moves to the part of large ones.
 	a.add(b.room(-b.size))
 	if !a.take(request{use: b.use, bytes: size, large: true, owner: b.owner}) {
 		a.add(b.room(b.size))
 		return false
 	}
-	return b.setSize(size, large)
-}
-
-func (b *Buffer) setSize(size int64, large bool) bool {
-	b.size, b.large = size, large
 	return true
 }
 
--- a/relay/admission.go
+++ b/relay/admission.go
@@ -27,8 +27,8 @@
 	// Refused is set if the request is turned away; Refusal says why.
 	Refused bool
 	Refusal Refusal
-	// Elsewhere is set if the caller's next request should reach another router, so that the
-	// connection is closed.
+	// Elsewhere is set if the connection is closed, so that the caller's next request reaches
+	// another router.
 	Elsewhere bool
 	// BodyDeadline is the deadline for reading the body; zero if there is none.
 	BodyDeadline time.Time
