conn: the end of an unframed answer depends on how the write of its request ended

What callers saw: an endpoint answers a long upload early with a 200 that has no length, sends a part of its body and resets the connection while the upload is being written. The part came as a complete answer (MIXED), on the platform and from plain services of our own interface.

Cause: the kernel reports a reset once. The write that waits gets ECONNRESET, and the read behind it EOF, which ends such an answer. The write's result only decided whether the connection is reused.

Ruled out: that the reset is lost because bytes are unread. Uploads that fit into the buffers, where only the read can get it, pass before (TestEarlyAnswerToAShortUpload, kept).

Change: pendingWrite, for both carriers. At the end of an unframed answer a failed write means that it was broken off; a write that goes on is waited for, at most 500 ms, since an endpoint that closed its connection resets it as soon as more arrives, and one that reads on doesn't. It is not a rule about time: a write that still goes on then leaves the answer whole. The stand-in answers early and has three more endings.

--- a/app/load.go
+++ b/app/load.go
@@ -88,8 +88,7 @@
 
 // Run sends the requests and returns when the last answer has ended.
 func (l *Load) Run(ctx context.Context) LoadReport {
-	l.http = (&conn.Dialer{}).ExternalClient()
-	l.http.Transport.(*http.Transport).MaxIdleConnsPerHost = 4096
+	l.http = (&conn.Dialer{MaxIdlePerHost: 4096}).ExternalClient()
 	l.firstToken = hdrhistogram.New(1, maxLatencyMicroseconds, histogramDigits)
 	l.betweenTokens = hdrhistogram.New(1, maxLatencyMicroseconds, histogramDigits)
 	l.report = LoadReport{Rate: l.Rate, Seed: l.Seed, Codes: map[string]int{}}
--- a/conn/client.go
+++ b/conn/client.go
@@ -48,6 +48,9 @@
 	// the wait for the answer to a ping, which is sent when a connection has received
 	// nothing for half of that time. If 0, DialTimeout, PingTimeout and PingAfter apply.
 	SilenceTimeout time.Duration
+	// MaxIdlePerHost bounds the idle pooled connections of an external client to one host. If 0,
+	// 256 are kept.
+	MaxIdlePerHost int
 	// Dial opens a connection. If nil, TCP is used.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
@@ -70,18 +73,22 @@
 // HTTP/1.1, whose connections carry one request at a time.
 func (d *Dialer) ExternalClient() *http.Client {
 	t := d.transport()
+	t.DialContext = d.dialEndChecked
 	t.Protocols = new(http.Protocols)
 	t.Protocols.SetHTTP1(true)
 	t.MaxResponseHeaderBytes = maxHeadBytes
 	t.ReadBufferSize = externalBufferBytes
 	t.WriteBufferSize = externalBufferBytes
-	return &http.Client{Transport: t}
+	if d.MaxIdlePerHost > 0 {
+		t.MaxIdleConnsPerHost = d.MaxIdlePerHost
+	}
+	return &http.Client{Transport: &externalTransport{Transport: t}}
 }
 
 // UnpooledClient returns a client that opens a new connection for each request.
 func (d *Dialer) UnpooledClient() *http.Client {
 	c := d.ExternalClient()
-	c.Transport.(*http.Transport).DisableKeepAlives = true
+	c.Transport.(*externalTransport).DisableKeepAlives = true
 	return c
 }
 
--- a/conn/exchange.go
+++ b/conn/exchange.go
@@ -48,9 +48,8 @@
 	reused bool
 	// stopAfterFunc is the stop function that context.AfterFunc returned.
 	stopAfterFunc func() bool
-	// writeResult receives the result of a write in a goroutine. It is nil if there is
-	// no such write.
-	writeResult chan error
+	// largeWrite is the write of a large request; nil if there is none.
+	largeWrite *pendingWrite
 }
 
 // Response is the answer to a request. Its Body must be closed.
@@ -169,13 +168,14 @@
 		}
 		return err
 	}
-	c.writeResult = make(chan error, 1)
+	w := newPendingWrite()
+	c.largeWrite = w
 	go func() {
 		defer end()
 		all := append(net.Buffers{head}, content...)
 		n, err := all.WriteTo(c.Conn)
 		c.pool.countWritten(n)
-		c.writeResult <- err
+		w.end(err)
 	}()
 	return nil
 }
@@ -200,9 +200,15 @@
 // Read implements io.Reader.
 func (b *pooledBody) Read(p []byte) (int, error) {
 	n, err := b.body.Read(p)
-	if err == io.EOF {
-		b.whole = true
+	if err != io.EOF {
+		return n, err
 	}
+	if r := b.response; r.Unframed && r.connection != nil {
+		if cut := r.connection.largeWrite.checkEnd(); cut != nil {
+			return n, cut
+		}
+	}
+	b.whole = true
 	return n, err
 }
 
@@ -213,30 +219,17 @@
 		return nil
 	}
 	r.connection = nil
-	reusable := b.whole && !r.Unframed && !r.Close && c.allWritten() && c.reader.Buffered() == 0
+	reusable := b.whole && !r.Unframed && !r.Close && c.largeWrite.hasSucceeded() && c.reader.Buffered() == 0
 	if !reusable || !c.stopAfterFunc() {
 		c.discard()
 		return nil
 	}
-	c.broken, c.reused = false, true
+	c.broken, c.reused, c.largeWrite = false, true, nil
 	c.idleUntil = time.Now().Add(peerIdleTimeout(r.Header))
 	c.pool.putIdle(c)
 	return nil
 }
 
-func (c *Connection) allWritten() bool {
-	if c.writeResult == nil {
-		return true
-	}
-	select {
-	case err := <-c.writeResult:
-		c.writeResult = nil
-		return err == nil
-	default:
-		return false
-	}
-}
-
 // peerIdleTimeout returns how long an idle connection may be kept: the timeout in the
 // Keep-Alive header of the other side less idleMargin, or DefaultIdleTimeout.
 func peerIdleTimeout(h http.Header) time.Duration {
--- /dev/null
+++ b/conn/pending_write.go
@@ -0,0 +1,69 @@
+package conn
+
+import (
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// resetTimeout bounds the wait for the reset of a connection that the other side has closed while
+// a request is being written to it. Its kernel resets the connection as soon as more of the
+// request arrives.
+const resetTimeout = 500 * time.Millisecond
+
+// errRequestCutOff is returned if a connection ended before the other side took the whole request.
+var errRequestCutOff = errors.New("connection ended while the request was being written")
+
+// pendingWrite is the write of a request to a connection that is read at the same time. A nil
+// pendingWrite has succeeded.
+type pendingWrite struct {
+	// ended is closed when the write has ended; err is set before.
+	ended chan struct{}
+	err   error
+	// abandoned is set once the reader no longer waits for the end of the write.
+	abandoned bool
+}
+
+func newPendingWrite() *pendingWrite { return &pendingWrite{ended: make(chan struct{})} }
+
+func (w *pendingWrite) end(err error) {
+	w.err = err
+	close(w.ended)
+}
+
+func (w *pendingWrite) hasEnded() bool {
+	select {
+	case <-w.ended:
+		return true
+	default:
+		return false
+	}
+}
+
+func (w *pendingWrite) hasSucceeded() bool { return w == nil || w.hasEnded() && w.err == nil }
+
+// checkEnd is called when the reader has come to the connection's end. It returns an error if the
+// other side hasn't just closed its writing side, but the connection. The kernel reports a reset
+// once: if the write gets it, the next read gets the connection's end.
+func (w *pendingWrite) checkEnd() error {
+	if w == nil || !w.wait() || w.err == nil {
+		return nil
+	}
+	return errors.Join(errRequestCutOff, w.err)
+}
+
+// wait waits for the end of the write, once. It returns false if the write goes on: the other side
+// still has the connection open then.
+func (w *pendingWrite) wait() bool {
+	if w.abandoned {
+		return false
+	}
+	timer := time.NewTimer(resetTimeout)
+	defer timer.Stop()
+	select {
+	case <-w.ended:
+	case <-timer.C:
+		w.abandoned = !w.hasEnded()
+	}
+	return !w.abandoned
+}
--- a/endpt/stale_answer_test.go
+++ b/endpt/stale_answer_test.go
@@ -19,6 +19,12 @@
 func startRaw(t *testing.T, respond func(r *http.Request, nth int) (string, stand.Ending)) (*stand.RawEndpoint, *endpt.Client) {
 	t.Helper()
 	e := &stand.RawEndpoint{Respond: respond}
+	return e, startClient(t, e)
+}
+
+// startClient starts an endpoint that ends with the test, and returns a client for it.
+func startClient(t *testing.T, e *stand.RawEndpoint) *endpt.Client {
+	t.Helper()
 	require.NoError(t, e.Start())
 	d := &conn.Dialer{}
 	c := &endpt.Client{
@@ -29,7 +35,7 @@
 		c.HTTP.CloseIdleConnections()
 		e.Stop()
 	})
-	return e, c
+	return c
 }
 
 // newAttempt returns an attempt at a call to a plain service, or to a model engine.
--- a/stand/raw.go
+++ b/stand/raw.go
@@ -16,13 +16,20 @@
 type Ending int
 
 // The endings of an answer. After a crash, nothing listens on the endpoint's address, and all
-// its connections are closed.
+// its connections are closed. A connection that is closed before all that has arrived was read
+// is reset by the kernel.
 const (
 	KeepsOpen Ending = iota
 	Closes
 	Resets
 	Crashes
 	CrashesWithReset
+	// ClosesWriting closes the writing side and reads on until the other side closes.
+	ClosesWriting
+	// ClosesWritingThenResets closes the writing side and then resets the connection.
+	ClosesWritingThenResets
+	// ClosesWritingThenWaits closes the writing side and reads nothing more, until the endpoint ends.
+	ClosesWritingThenWaits
 )
 
 // RawEndpoint is an endpoint that answers with given bytes, whether they are an answer in the
@@ -31,6 +38,10 @@
 	// Respond returns the bytes that answer a request and what follows. nth counts the
 	// requests on the connection from 1.
 	Respond func(r *http.Request, nth int) (string, Ending)
+	// AnswersEarly makes it answer once it has read EarlyBytes of a request's body. It reads the
+	// rest afterwards if the connection is kept open.
+	AnswersEarly bool
+	EarlyBytes   int64
 
 	listener    net.Listener
 	serving     sync.WaitGroup
@@ -38,6 +49,8 @@
 	connections []net.Conn
 	received    []http.Header
 	ended       bool
+	// stopped is closed when the endpoint ends.
+	stopped chan struct{}
 }
 
 // rawEndpoints counts the raw endpoints of this process.
@@ -56,7 +69,7 @@
 	if err != nil {
 		return &Error{Op: "start raw endpoint", Kind: KindServe, Err: err}
 	}
-	e.listener = l
+	e.listener, e.stopped = l, make(chan struct{})
 	e.serving.Go(e.accept)
 	return nil
 }
@@ -109,6 +122,9 @@
 	_ = e.listener.Close()
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if !e.ended {
+		close(e.stopped)
+	}
 	e.ended = true
 	for _, c := range e.connections {
 		_ = c.Close()
@@ -124,7 +140,7 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		if err := e.readBody(r); err != nil {
 			return
 		}
 		e.mu.Lock()
@@ -134,14 +150,41 @@
 		if _, err := io.WriteString(c, text); err != nil {
 			return
 		}
-		if then == Resets || then == CrashesWithReset {
-			_ = c.(*net.TCPConn).SetLinger(0)
-		}
-		if then == Crashes || then == CrashesWithReset {
-			e.end()
-		}
 		if then != KeepsOpen {
+			e.finish(c.(*net.TCPConn), then)
 			return
 		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+	}
+}
+
+// readBody reads as much of a request's body as the endpoint wants before it answers.
+func (e *RawEndpoint) readBody(r *http.Request) error {
+	if !e.AnswersEarly {
+		_, err := io.Copy(io.Discard, r.Body)
+		return err
+	}
+	_, err := io.CopyN(io.Discard, r.Body, e.EarlyBytes)
+	return err
+}
+
+// finish does what follows the last answer on a connection. The caller closes the connection.
+func (e *RawEndpoint) finish(c *net.TCPConn, then Ending) {
+	switch then {
+	case ClosesWriting, ClosesWritingThenResets, ClosesWritingThenWaits:
+		_ = c.CloseWrite()
+	}
+	switch then {
+	case ClosesWriting:
+		_, _ = io.Copy(io.Discard, c)
+	case ClosesWritingThenWaits:
+		<-e.stopped
+	case Resets, CrashesWithReset, ClosesWritingThenResets:
+		_ = c.SetLinger(0)
+	}
+	if then == Crashes || then == CrashesWithReset {
+		e.end()
 	}
 }
