conn: a head whose status HTTP doesn't have is no answer

What callers saw: an endpoint in trouble sends an answer whose status is 000. On the platform the caller's connection closes without an answer; plain services of our own interface pass it on. If such a head said that the request hasn't run, that was believed and a second endpoint asked.

Cause: net/http takes any three digits, and a sign, for a status, and no place behind it asked whether it is one. The ingress' WriteHeader panics below 100, which closes the connection.

Ruled out: a check in the ingress or in relay alone. Refusals, limits and pauses are read from the same head before either sees a status, and our own interface has neither.

Change: checkHead, one rule where heads are read: the pool and the external transport. A final status is one from 200 to 599 (RFC 9110, section 15). Anything else is a broken attempt, not a refusal, and its connection is closed. It works for every reader, since none gets the head.

An earlier answer with such a status that is left over on a connection was skipped by its id and now breaks the attempt, as its status can't say whether a body follows.

--- a/conn/exchange.go
+++ b/conn/exchange.go
@@ -115,6 +115,9 @@
 		if r.StatusCode >= 100 && r.StatusCode < 200 && r.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
+		if err := checkHead(r); err != nil {
+			return nil, err
+		}
 		out := &Response{Response: r, Reused: c.reused, Unframed: Unframed(r), connection: c}
 		r.Body = &pooledBody{body: r.Body, response: out}
 		return out, nil
--- a/conn/external_transport.go
+++ b/conn/external_transport.go
@@ -11,27 +11,43 @@
 	"github.com/go-faster/errors"
 )
 
-// externalTransport sends requests over HTTP/1.1 connections whose end counts as a read error if
-// the write of a request has failed.
+// externalTransport sends requests over HTTP/1.1 connections. It holds answers to the same rules as
+// Pool does: the end of a connection counts as a read error if the write of a request has failed,
+// and a head that isn't one of an answer is an error.
 type externalTransport struct {
 	*http.Transport
 }
 
+// sentRequest is a request on its connection.
+type sentRequest struct {
+	on    net.Conn
+	write *pendingWrite
+}
+
 // RoundTrip implements http.RoundTripper.
 func (t *externalTransport) RoundTrip(r *http.Request) (*http.Response, error) {
-	var write atomic.Pointer[pendingWrite]
+	var sent atomic.Pointer[sentRequest]
 	trace := &httptrace.ClientTrace{
 		// Called again if net/http sends the request once more, on another connection.
 		GotConn: func(i httptrace.GotConnInfo) {
-			w := newPendingWrite()
-			write.Store(w)
+			s := &sentRequest{on: i.Conn, write: newPendingWrite()}
+			sent.Store(s)
 			if c := endCheckedConnOf(i.Conn); c != nil {
-				c.write.Store(w)
+				c.write.Store(s.write)
 			}
 		},
-		WroteRequest: func(i httptrace.WroteRequestInfo) { write.Load().end(i.Err) },
+		WroteRequest: func(i httptrace.WroteRequestInfo) { sent.Load().write.end(i.Err) },
+	}
+	res, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	if err := checkHead(res); err != nil {
+		_ = sent.Load().on.Close() // Closing the body may leave the connection to the next request.
+		_ = res.Body.Close()
+		return nil, err
 	}
-	return t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	return res, nil
 }
 
 // endCheckedConn is a connection whose end counts as a read error if the other side didn't take
