conn: a head in which the name of a field is none is no answer

What callers saw: an endpoint in trouble sends a head in which the name of a field holds a blank, and the answer is passed on with that line, or with a body that isn't the endpoint's: a length or chunks that are stated under such a name don't frame it. Refusals with such heads were believed. Both interfaces.

Cause: net/http lets blanks in names pass and keeps such a field under its raw name, where nobody looks, itself included.

Ruled out: taking the blanks out, as RFC 9112, section 5.1, has proxies do.

Related path: names in trailers, which net/http reads just as leniently.

--- a/conn/exchange.go
+++ b/conn/exchange.go
@@ -119,7 +119,7 @@
 			return nil, err
 		}
 		out := &Response{Response: r, Reused: c.reused, Unframed: Unframed(r), connection: c}
-		r.Body = &pooledBody{body: r.Body, response: out}
+		r.Body = &pooledBody{body: checkTrailer(r), response: out}
 		return out, nil
 	}
 }
--- a/conn/external_transport.go
+++ b/conn/external_transport.go
@@ -47,6 +47,7 @@
 		_ = res.Body.Close()
 		return nil, err
 	}
+	res.Body = checkTrailer(res)
 	return res, nil
 }
 
--- a/endpt/broken_head_test.go
+++ b/endpt/broken_head_test.go
@@ -1,7 +1,9 @@
 package endpt_test
 
 import (
+	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -42,3 +44,48 @@
 		}
 	}
 }
+
+// TestFieldNameThatIsNone guards against an answer, or a refusal that is believed, in whose head the
+// name of a field holds a byte that none may hold.
+func TestFieldNameThatIsNone(t *testing.T) {
+	for _, line := range []string{
+		"X Bad: 1", "X-Bad : 1", "Content-Length : 1", "Transfer-Encoding : chunked", endpt.NotRunHeader + " : true",
+		"X\x00Bad: 1", "X\x01Bad: 1", "X\x0bBad: 1", "X\x7fBad: 1", "X-Bad\t: 1", "X(Bad: 1", "X\xe9Bad: 1", ": 1", "no colon",
+	} {
+		for _, headers := range []string{"", endpt.NotRunHeader + ": true\r\n"} {
+			t.Run(fmt.Sprintf("%q/%s", line, headers), func(t *testing.T) { requireBroken(t, "200", headers+line+"\r\n") })
+		}
+		for name, target := range targets {
+			t.Run(fmt.Sprintf("%q/trailer/%s", line, name), func(t *testing.T) {
+				e, c := startRaw(t, func(r *http.Request, _ int) (string, stand.Ending) {
+					return chunkedAnswer(r, line+"\r\n"), stand.KeepsOpen
+				})
+				err := run(t, c, newAttempt(e, "r1", 1, target))
+				if name == "engine" {
+					require.NoError(t, err, "the answer has its end mark")
+					return
+				}
+				requireKind(t, err, endpt.KindBroken)
+			})
+		}
+	}
+}
+
+// chunkedAnswer returns a whole answer in chunks, with a trailer.
+func chunkedAnswer(r *http.Request, trailer string) string {
+	head, body, _ := strings.Cut(answered(r), "\r\n\r\n")
+	status, _, _ := strings.Cut(head, "Content-Length")
+	return status + "Transfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n%s\r\n0\r\n%s\r\n", len(body), body, trailer)
+}
+
+// TestTrailers checks that an answer with a sound trailer counts.
+func TestTrailers(t *testing.T) {
+	for name, target := range targets {
+		t.Run(name, func(t *testing.T) {
+			e, c := startRaw(t, func(r *http.Request, _ int) (string, stand.Ending) {
+				return chunkedAnswer(r, "X-Sum: 1\r\n"), stand.KeepsOpen
+			})
+			require.NoError(t, run(t, c, newAttempt(e, "r1", 1, target)))
+		})
+	}
+}
