conn: test that the end of a connection is checked below TLS

Why: on TLS net/http holds the TLS connection, and the check is in the one below it. crypto/tls takes an end between two records for the end of what was sent, so that the same part of an answer would pass.

--- a/conn/pending_write_test.go
+++ b/conn/pending_write_test.go
@@ -3,9 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -141,3 +144,32 @@
 	}
 	require.ErrorIs(t, err, errRequestCutOff)
 }
+
+// TestResetBelowTLS guards against the same on a TLS connection, where net/http doesn't have the
+// connection itself.
+func TestResetBelowTLS(t *testing.T) {
+	s := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nhalf")
+		_ = c.(*tls.Conn).NetConn().(*net.TCPConn).SetLinger(0)
+		_ = c.(*tls.Conn).NetConn().Close()
+	}))
+	t.Cleanup(s.Close)
+	d := &Dialer{TLS: s.Client().Transport.(*http.Transport).TLSClientConfig}
+	for n := range 20 {
+		t.Run(strconv.Itoa(n), func(t *testing.T) {
+			q, err := http.NewRequestWithContext(t.Context(), http.MethodPost, s.URL, bytes.NewReader(make([]byte, 12<<20)))
+			require.NoError(t, err)
+			r, err := d.UnpooledClient().Do(q)
+			if err != nil {
+				return
+			}
+			_, err = io.ReadAll(r.Body)
+			require.NoError(t, r.Body.Close())
+			require.Error(t, err)
+		})
+	}
+}
