conn: a failed write doesn't give up an answer that has come

What callers saw: on our own interface, an endpoint that answers a long upload early with a whole answer of a stated length, or in chunks, and then closes with bytes of the upload unread. The attempt counts as broken; nothing wrong is passed on, but a call that may not be repeated ends without its answer.

Cause: the kernel resets the connection, the write fails, and net/http closes the connection at that, while the answer is unread.

Ruled out: that the answer is lost with the reset. The platform's pool reads it whole.

The result of the write is set at once, so that the end of an unframed answer is judged as before.

--- a/conn/external_transport.go
+++ b/conn/external_transport.go
@@ -6,7 +6,9 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/go-faster/errors"
 )
@@ -56,6 +58,13 @@
 type endCheckedConn struct {
 	net.Conn
 	write atomic.Pointer[pendingWrite]
+	// readEnded is closed once nothing more will be read.
+	readEnded chan struct{}
+	endRead   sync.Once
+}
+
+func newEndCheckedConn(c net.Conn) *endCheckedConn {
+	return &endCheckedConn{Conn: c, readEnded: make(chan struct{})}
 }
 
 // endCheckedConnOf returns the connection below TLS, or c itself if it is plain. It returns nil if
@@ -71,6 +80,9 @@
 // Read implements net.Conn.
 func (c *endCheckedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if err != nil {
+		c.markReadEnded()
+	}
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
@@ -80,11 +92,38 @@
 	return n, err
 }
 
+// Write implements net.Conn. It returns an error only once reads have ended, or resetTimeout has
+// passed: net/http gives the exchange up then, though the whole answer may have come.
+func (c *endCheckedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if err == nil {
+		return n, nil
+	}
+	if w := c.write.Load(); w != nil {
+		w.end(err)
+	}
+	timer := time.NewTimer(resetTimeout)
+	defer timer.Stop()
+	select {
+	case <-c.readEnded:
+	case <-timer.C:
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *endCheckedConn) Close() error {
+	c.markReadEnded()
+	return c.Conn.Close()
+}
+
+func (c *endCheckedConn) markReadEnded() { c.endRead.Do(func() { close(c.readEnded) }) }
+
 // dialEndChecked opens a connection for externalTransport.
 func (d *Dialer) dialEndChecked(ctx context.Context, network, address string) (net.Conn, error) {
 	c, err := d.dial(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
-	return &endCheckedConn{Conn: c}, nil
+	return newEndCheckedConn(c), nil
 }
--- a/conn/pending_write.go
+++ b/conn/pending_write.go
@@ -1,6 +1,7 @@
 package conn
 
 import (
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -20,15 +21,19 @@
 	// ended is closed when the write has ended; err is set before.
 	ended chan struct{}
 	err   error
+	once  sync.Once
 	// abandoned is set once the reader no longer waits for the end of the write.
 	abandoned bool
 }
 
 func newPendingWrite() *pendingWrite { return &pendingWrite{ended: make(chan struct{})} }
 
+// end sets the result of the write. Further calls have no effect.
 func (w *pendingWrite) end(err error) {
-	w.err = err
-	close(w.ended)
+	w.once.Do(func() {
+		w.err = err
+		close(w.ended)
+	})
 }
 
 func (w *pendingWrite) hasEnded() bool {
--- a/endpt/early_answer_test.go
+++ b/endpt/early_answer_test.go
@@ -52,18 +52,19 @@
 }
 
 // TestEarlyAnswerThatIsWhole checks that an answer to a long upload counts though it came before
-// the upload had ended, if the endpoint says where it ends, or reads on after its end.
+// the upload had ended, if the endpoint says where it ends, also if it then closes the connection
+// with unread bytes, or if it reads on after its end.
 func TestEarlyAnswerThatIsWhole(t *testing.T) {
 	framings := map[string]struct {
 		rest    func(body string) string
 		endings []stand.Ending
 	}{
 		"length": {func(body string) string { return fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body) },
-			[]stand.Ending{stand.KeepsOpen, stand.ClosesWriting}},
+			[]stand.Ending{stand.KeepsOpen, stand.Closes, stand.ClosesWriting}},
 		"chunks": {func(body string) string {
 			return fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
 		},
-			[]stand.Ending{stand.KeepsOpen, stand.ClosesWriting}},
+			[]stand.Ending{stand.KeepsOpen, stand.Closes, stand.ClosesWriting}},
 		"connection": {func(body string) string { return "\r\n" + body }, []stand.Ending{stand.ClosesWriting, stand.ClosesWritingThenWaits}},
 	}
 	for framing, f := range framings {
