--- a/conn/client.go
+++ b/conn/client.go
@@ -49,7 +49,7 @@
 	// nothing for half of that time. If 0, DialTimeout, PingTimeout and PingAfter apply.
 	SilenceTimeout time.Duration
 	// MaxIdlePerHost bounds the idle pooled connections of an external client to one host. If 0,
-	// 256 are kept.
+	// maxIdlePerHost applies.
 	MaxIdlePerHost int
 	// Dial opens a connection. If nil, TCP is used.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
--- a/conn/external_transport.go
+++ b/conn/external_transport.go
@@ -13,9 +13,9 @@
 	"github.com/go-faster/errors"
 )
 
-// externalTransport sends requests over HTTP/1.1 connections. It holds answers to the same rules as
-// Pool does: the end of a connection counts as a read error if the write of a request has failed,
-// and a head that isn't one of an answer is an error.
+// externalTransport sends requests over HTTP/1.1 connections. It applies the same checks to answers
+// as Pool: the head and the trailer must be valid, and EOF is an error if the write of the request
+// has failed.
 type externalTransport struct {
 	*http.Transport
 }
@@ -53,8 +53,7 @@
 	return res, nil
 }
 
-// endCheckedConn is a connection whose end counts as a read error if the other side didn't take
-// the whole request.
+// endCheckedConn is a connection on which EOF is an error if the write of the request has failed.
 type endCheckedConn struct {
 	net.Conn
 	write atomic.Pointer[pendingWrite]
@@ -92,8 +91,8 @@
 	return n, err
 }
 
-// Write implements net.Conn. It returns an error only once reads have ended, or resetTimeout has
-// passed: net/http gives the exchange up then, though the whole answer may have come.
+// Write implements net.Conn. It delays an error until reads have ended, at most for resetTimeout:
+// net/http gives up the exchange on a write error, even if the whole answer has arrived.
 func (c *endCheckedConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
 	if err == nil {
@@ -119,7 +118,7 @@
 
 func (c *endCheckedConn) markReadEnded() { c.endRead.Do(func() { close(c.readEnded) }) }
 
-// dialEndChecked opens a connection for externalTransport.
+// dialEndChecked opens a connection on which EOF is checked.
 func (d *Dialer) dialEndChecked(ctx context.Context, network, address string) (net.Conn, error) {
 	c, err := d.dial(ctx, network, address)
 	if err != nil {
--- a/conn/pending_write.go
+++ b/conn/pending_write.go
@@ -7,9 +7,9 @@
 	"github.com/go-faster/errors"
 )
 
-// resetTimeout bounds the wait for the reset of a connection that the other side has closed while
-// a request is being written to it. Its kernel resets the connection as soon as more of the
-// request arrives.
+// resetTimeout bounds the wait for the reset of a connection that the other side may have closed
+// while a request is being written to it. A closed connection is reset as soon as more of the
+// request arrives; a half-closed one isn't.
 const resetTimeout = 500 * time.Millisecond
 
 // errRequestCutOff is returned if a connection ended before the other side took the whole request.
@@ -47,9 +47,9 @@
 
 func (w *pendingWrite) hasSucceeded() bool { return w == nil || w.hasEnded() && w.err == nil }
 
-// checkEnd is called when the reader has come to the connection's end. It returns an error if the
-// other side hasn't just closed its writing side, but the connection. The kernel reports a reset
-// once: if the write gets it, the next read gets the connection's end.
+// checkEnd is called when a read has returned EOF. It returns an error if the connection was reset
+// or closed, and not just half-closed. The kernel reports a reset once: if the write gets it, the
+// next read returns EOF.
 func (w *pendingWrite) checkEnd() error {
 	if w == nil || !w.wait() || w.err == nil {
 		return nil
@@ -57,8 +57,8 @@
 	return errors.Join(errRequestCutOff, w.err)
 }
 
-// wait waits for the end of the write, once. It returns false if the write goes on: the other side
-// still has the connection open then.
+// wait waits for the end of the write, once. It returns false if the write goes on, which means that
+// the other side still has the connection open.
 func (w *pendingWrite) wait() bool {
 	if w.abandoned {
 		return false
--- a/endpt/early_answer_test.go
+++ b/endpt/early_answer_test.go
@@ -37,7 +37,7 @@
 // TestEarlyAnswerThatIsReset guards against a part of an answer of a plain service that counts as
 // whole, because the write of a long upload got the reset of the connection.
 func TestEarlyAnswerThatIsReset(t *testing.T) {
-	endings := map[string]stand.Ending{"reset": stand.Resets, "closed with unread bytes": stand.Closes, "reset behind its end": stand.ClosesWritingThenResets}
+	endings := map[string]stand.Ending{"reset": stand.Resets, "closed with unread bytes": stand.Closes, "reset behind its end": stand.HalfClosesThenResets}
 	for _, after := range []int64{0, 100 << 10} {
 		for name, end := range endings {
 			for n := range 4 {
@@ -60,12 +60,12 @@
 		endings []stand.Ending
 	}{
 		"length": {func(body string) string { return fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body) },
-			[]stand.Ending{stand.KeepsOpen, stand.Closes, stand.ClosesWriting}},
+			[]stand.Ending{stand.KeepsOpen, stand.Closes, stand.HalfCloses}},
 		"chunks": {func(body string) string {
 			return fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
 		},
-			[]stand.Ending{stand.KeepsOpen, stand.Closes, stand.ClosesWriting}},
-		"connection": {func(body string) string { return "\r\n" + body }, []stand.Ending{stand.ClosesWriting, stand.ClosesWritingThenWaits}},
+			[]stand.Ending{stand.KeepsOpen, stand.Closes, stand.HalfCloses}},
+		"connection": {func(body string) string { return "\r\n" + body }, []stand.Ending{stand.HalfCloses, stand.HalfClosesThenWaits}},
 	}
 	for framing, f := range framings {
 		for target := range targets {
--- a/endpt/broken_head_test.go
+++ b/endpt/invalid_head_test.go
@@ -12,8 +12,8 @@
 	"buckthornpin/stand"
 )
 
-// requireBroken checks that a head, which is followed by a body, isn't taken as that of an answer,
-// and that its connection isn't used again.
+// requireBroken checks that an attempt counts as broken if its answer has a given status and headers,
+// and that the connection isn't reused.
 func requireBroken(t *testing.T, status, headers string) {
 	t.Helper()
 	for name, target := range targets {
@@ -35,9 +35,9 @@
 	}
 }
 
-// TestStatusThatHTTPDoesNotHave guards against an answer, or a refusal that is believed, with a
-// status that is none.
-func TestStatusThatHTTPDoesNotHave(t *testing.T) {
+// TestInvalidStatus guards against an answer with a status that HTTP doesn't define, and against a
+// refusal with one that is believed.
+func TestInvalidStatus(t *testing.T) {
 	for _, status := range []string{"000", "001", "042", "099", "+20", "-00", "101", "600", "999"} {
 		for _, headers := range []string{"", endpt.NotRunHeader + ": true\r\n"} {
 			t.Run(status+"/"+headers, func(t *testing.T) { requireBroken(t, status, headers) })
@@ -45,9 +45,9 @@
 	}
 }
 
-// TestFieldNameThatIsNone guards against an answer, or a refusal that is believed, in whose head the
+// TestInvalidFieldName guards against an answer, or a refusal that is believed, in whose head the
 // name of a field holds a byte that none may hold.
-func TestFieldNameThatIsNone(t *testing.T) {
+func TestInvalidFieldName(t *testing.T) {
 	for _, line := range []string{
 		"X Bad: 1", "X-Bad : 1", "Content-Length : 1", "Transfer-Encoding : chunked", endpt.NotRunHeader + " : true",
 		"X\x00Bad: 1", "X\x01Bad: 1", "X\x0bBad: 1", "X\x7fBad: 1", "X-Bad\t: 1", "X(Bad: 1", "X\xe9Bad: 1", ": 1", "no colon",
--- a/stand/raw.go
+++ b/stand/raw.go
@@ -24,12 +24,12 @@
 	Resets
 	Crashes
 	CrashesWithReset
-	// ClosesWriting closes the writing side and reads on until the other side closes.
-	ClosesWriting
-	// ClosesWritingThenResets closes the writing side and then resets the connection.
-	ClosesWritingThenResets
-	// ClosesWritingThenWaits closes the writing side and reads nothing more, until the endpoint ends.
-	ClosesWritingThenWaits
+	// HalfCloses closes the writing side and reads on until the other side closes.
+	HalfCloses
+	// HalfClosesThenResets closes the writing side and then resets the connection.
+	HalfClosesThenResets
+	// HalfClosesThenWaits closes the writing side and stops reading until the endpoint is stopped.
+	HalfClosesThenWaits
 )
 
 // RawEndpoint is an endpoint that answers with given bytes, whether they are an answer in the
@@ -49,7 +49,7 @@
 	connections []net.Conn
 	received    []http.Header
 	ended       bool
-	// stopped is closed when the endpoint ends.
+	// stopped is closed when the endpoint is stopped or crashes.
 	stopped chan struct{}
 }
 
@@ -170,18 +170,18 @@
 	return err
 }
 
-// finish does what follows the last answer on a connection. The caller closes the connection.
+// finish carries out the ending of a connection, up to the close, which is left to the caller.
 func (e *RawEndpoint) finish(c *net.TCPConn, then Ending) {
 	switch then {
-	case ClosesWriting, ClosesWritingThenResets, ClosesWritingThenWaits:
+	case HalfCloses, HalfClosesThenResets, HalfClosesThenWaits:
 		_ = c.CloseWrite()
 	}
 	switch then {
-	case ClosesWriting:
+	case HalfCloses:
 		_, _ = io.Copy(io.Discard, c)
-	case ClosesWritingThenWaits:
+	case HalfClosesThenWaits:
 		<-e.stopped
-	case Resets, CrashesWithReset, ClosesWritingThenResets:
+	case Resets, CrashesWithReset, HalfClosesThenResets:
 		_ = c.SetLinger(0)
 	}
 	if then == Crashes || then == CrashesWithReset {
