--- a/conn/external_transport.go
+++ b/conn/external_transport.go
@@ -13,6 +13,9 @@
 	"github.com/go-faster/errors"
 )
 
+// writeErrorDelay bounds how long a write error is held back while an answer is still being read.
+const writeErrorDelay = 500 * time.Millisecond
+
 // externalTransport sends requests over HTTP/1.1 connections. It applies the same checks to answers
 // as Pool: the head and the trailer must be valid, and EOF is an error if the write of the request
 // has failed.
@@ -91,7 +94,7 @@
 	return n, err
 }
 
-// Write implements net.Conn. It delays an error until reads have ended, at most for resetTimeout:
+// Write implements net.Conn. It delays an error until reads have ended, at most by writeErrorDelay:
 // net/http gives up the exchange on a write error, even if the whole answer has arrived.
 func (c *endCheckedConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
@@ -101,7 +104,7 @@
 	if w := c.write.Load(); w != nil {
 		w.end(err)
 	}
-	timer := time.NewTimer(resetTimeout)
+	timer := time.NewTimer(writeErrorDelay)
 	defer timer.Stop()
 	select {
 	case <-c.readEnded:
