--- a/review/stand-3/platform.go
+++ b/review/stand-3/platform.go
@@ -114,8 +114,11 @@
 	server              *http.Server
 	done                chan struct{}
 	stopOnce            sync.Once
-	// body is what it answers.
+	// body is what it answers, born the time of its start in Unix milliseconds.
 	body string
+	born int64
+	// work is how long it works on a request.
+	work time.Duration
 
 	mu  sync.Mutex
 	ran []execution
@@ -128,7 +131,7 @@
 
 // startEngine starts an engine that reports to the control nodes in turn.
 func (s *scene) startEngine(id, service string) (*engine, error) {
-	e := &engine{scene: s, id: id, service: service, done: make(chan struct{}), body: "answer of " + id}
+	e := &engine{scene: s, id: id, service: service, done: make(chan struct{}), body: "answer of " + id, born: time.Now().UnixMilli()}
 	l, err := net.Listen("tcp", fmt.Sprintf("%s%d:0", s.network, 100+len(s.engines)))
 	if err != nil {
 		return nil, err
@@ -153,11 +156,10 @@
 
 // report sends a liveness report in each interval, to one control node after the other.
 func (e *engine) report(first int) {
-	born := time.Now().UnixMilli()
 	for sequence := 1; ; sequence++ {
 		body, _ := json.Marshal(map[string]any{
 			"service": e.service, "address": e.target, "zone": "kgn-a", "version": "v1", "slots": 6, "state": "ready",
-			"cold-remaining-ms": 0, "sequence": sequence, "born": born,
+			"cold-remaining-ms": 0, "sequence": sequence, "born": e.born,
 		})
 		controls := e.scene.controls()
 		for i := range controls {
@@ -193,6 +195,7 @@
 	e.ran = append(e.ran, x)
 	e.mu.Unlock()
 	e.scene.note("engine %s of %s runs request %s: %s %s, tenant %q, %d bytes", e.id, e.service, x.id, x.method, x.target, x.tenant, len(x.body))
+	time.Sleep(e.work)
 	w.Header().Set("Server-Seal", "seal-"+e.id)
 	_, _ = io.WriteString(w, e.body)
 }
