--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -30,11 +30,11 @@
 
 // cases are the cases by name.
 var cases = map[string]func(s *scene) (verdict, error){
-	"late-body":    lateBody,
-	"line-end":     lineEnd,
-	"foreign-id":   foreignID,
-	"other-path":   otherPath,
-	"options-star": optionsStar,
+	"late-body":  lateBody,
+	"line-end":   lineEnd,
+	"foreign-id": foreignID,
+	"other-path": otherPath,
+	"agent":      agentReports,
 }
 
 func main() { os.Exit(run()) }
