Refuse names that can't be written and read back unchanged

Cause: a name from outside was taken if it wasn't empty, and each place that wrote it relied on the one before. A line break ended the head of requests; the encoder of messages between processes refuses strings that aren't UTF-8, and with one such entry the whole message, which nobody logged.

Change: CheckName says in one place what a usable name is; both interfaces refuse others with 400 and a log line, and the directory leaves out what other processes report under them, so that the rest of the message counts. Related paths: ids of events that Last-Event-Id sends back (an empty one started the stream anew), names of organisations in configurations, heartbeats that aren't UTF-8. A message that can't be encoded is logged.

--- /dev/null
+++ b/app/foreign_reports_test.go
@@ -0,0 +1,292 @@
+package app
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"expvar"
+	"fmt"
+	"io"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"buckthornpin"
+	"buckthornpin/config"
+	"buckthornpin/conn"
+	"buckthornpin/event"
+	"buckthornpin/memory"
+	platf "buckthornpin/platform"
+	"buckthornpin/relay"
+	"buckthornpin/wire"
+)
+
+// reportedSite consists of the processes that heartbeats reach, without their connections: three
+// control processes and, at the end, a router. Messages between them are encoded and decoded as on
+// a connection, and one that can't be encoded is lost.
+type reportedSite struct {
+	t         *testing.T
+	rng       *rand.Rand
+	processes []*PlatformProcess
+	engines   []*soundEngine
+}
+
+// soundEngine serves requests and sends the heartbeats of a process that works.
+type soundEngine struct {
+	report map[string]any
+	id     string
+
+	mu sync.Mutex
+	// changed are the requests that didn't arrive as they were sent.
+	changed []string
+	served  int
+}
+
+const (
+	reportedOrganisation = "cafe"
+	reportedBody         = "a permit"
+)
+
+func newReportedSite(t *testing.T, seed uint64) *reportedSite {
+	t.Helper()
+	s := &reportedSite{t: t, rng: rand.New(rand.NewPCG(seed, 0))}
+	for i := range 4 {
+		set := config.Defaults()
+		set.VM, set.Roles = fmt.Sprint("control-", i+1), []string{config.RoleControl}
+		if i == 3 {
+			set.VM, set.Roles = "router-1", []string{config.RoleRouter}
+		}
+		set.Platform.IP, set.Platform.MeshPort = fmt.Sprint("127.0.0.", i+1), 1
+		set.Platform.Heartbeat, set.Platform.Contact = config.Duration(time.Minute), config.Duration(time.Second)
+		line := &event.Timeline{VM: set.VM, Clock: &event.Clock{}}
+		p := &PlatformProcess{Settings: set, Log: zerolog.Nop(), metrics: new(expvar.Map), events: &eventRecorder{timeline: line, log: zerolog.Nop()}}
+		p.setSeeds(set.Platform)
+		p.openMesh()
+		s.processes = append(s.processes, p)
+	}
+	for i, service := range []string{"llm", "llm", "records", "records"} {
+		s.addEngine(fmt.Sprintf("i-%s-%d", service, i), service)
+	}
+	return s
+}
+
+func (s *reportedSite) addEngine(id, service string) {
+	e := &soundEngine{id: id}
+	server := httptest.NewServer(e)
+	s.t.Cleanup(server.Close)
+	e.report = map[string]any{
+		"service": service, "address": strings.TrimPrefix(server.URL, "http://"), "zone": "zone-1", "version": "v1", "slots": 6,
+		"state": "ready", "cold-remaining-ms": 0, "sequence": 0, "born": 1_700_000_000_000 + s.rng.IntN(1000),
+	}
+	s.engines = append(s.engines, e)
+}
+
+// ServeHTTP runs what is meant for the engine.
+func (e *soundEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	q := platf.DecodeEndpointRequest(r.Header)
+	body, _ := io.ReadAll(r.Body)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if q.Endpoint != e.id {
+		platf.EncodeEndpointAnswer(w.Header(), q.ID, "", true)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	e.served++
+	if q.Organisation != reportedOrganisation || string(body) != reportedBody {
+		e.changed = append(e.changed, fmt.Sprintf("%q of organisation %q", body, q.Organisation))
+	}
+	platf.EncodeEndpointAnswer(w.Header(), q.ID, "signed", false)
+}
+
+// put sends a heartbeat to a control process drawn at random and returns the status.
+func (s *reportedSite) put(id string, body []byte) int {
+	return s.call(http.MethodPut, id, body, s.processes[s.rng.IntN(3)])
+}
+
+func (s *reportedSite) call(method, id string, body []byte, p *PlatformProcess) int {
+	calls := (&platf.ControlServer{Control: &platformControl{process: p}, Log: zerolog.Nop(), Timeout: time.Second}).Handler()
+	r := httptest.NewRequest(method, platf.InstancePath(id), bytes.NewReader(body))
+	w := httptest.NewRecorder()
+	calls.ServeHTTP(w, r)
+	return w.Code
+}
+
+// beat has all sound engines send a heartbeat.
+func (s *reportedSite) beat() {
+	for _, e := range s.engines {
+		e.report["sequence"] = e.report["sequence"].(int) + 1
+		require.Equal(s.t, http.StatusOK, s.put(e.id, encode(e.report)))
+	}
+}
+
+func encode(report map[string]any) []byte {
+	data, err := json.Marshal(report)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// exchange has each process tell the others what it has learned.
+func (s *reportedSite) exchange() {
+	for _, p := range s.processes {
+		s.tell(p, p.directory.NextUpdates())
+	}
+}
+
+func (s *reportedSite) tell(p *PlatformProcess, states []*wire.EndpointState) {
+	for _, other := range s.processes {
+		if other == p {
+			continue
+		}
+		r := &wire.TellRequest{}
+		if !throughWire(&wire.TellRequest{Vm: p.Settings.VM, Endpoints: states}, r) {
+			continue
+		}
+		reply, err := other.mesh.Tell(context.Background(), r)
+		require.NoError(s.t, err)
+		read := &wire.TellReply{}
+		if throughWire(reply, read) {
+			p.directory.Merge(read.GetEndpoints())
+		}
+	}
+}
+
+// throughWire encodes a message and decodes it into another. It reports whether that is possible.
+func throughWire(from, to proto.Message) bool {
+	data, err := proto.Marshal(from)
+	return err == nil && proto.Unmarshal(data, to) == nil
+}
+
+// requireSoundEnginesServe requires that the router knows all sound engines as they reported
+// themselves, and that whatever it sends to the endpoints that it knows arrives unchanged.
+func (s *reportedSite) requireSoundEnginesServe() {
+	s.t.Helper()
+	router := s.processes[3]
+	pool := &conn.Pool{DialTimeout: time.Second, SilenceTimeout: 5 * time.Second}
+	for _, service := range []string{"llm", "records"} {
+		for _, e := range router.directory.Serving(buckthornpin.Target{Service: service}) {
+			if !e.Leaving && !e.Dead {
+				s.sendTo(pool, e)
+			}
+		}
+	}
+	for _, e := range s.engines {
+		require.Empty(s.t, e.changed, e.id)
+		require.Equal(s.t, 1, e.served, "requests that %s got", e.id)
+	}
+}
+
+func (s *reportedSite) sendTo(pool *conn.Pool, e *buckthornpin.Endpoint) {
+	body, err := (&memory.Account{Size: 1 << 20}).NewBody("", int64(len(reportedBody)), 1<<10)
+	require.NoError(s.t, err)
+	_, err = body.ReadFrom(strings.NewReader(reportedBody))
+	require.NoError(s.t, err)
+	q := &relay.Request{ID: "r-" + url.PathEscape(e.ID), Method: http.MethodPost, Host: "h.example", Target: "/a", Body: body}
+	d := relay.Dispatch{Request: q, Endpoint: e, Organisation: reportedOrganisation, Deadline: time.Now().Add(5 * time.Second)}
+	a, err := (&platf.Endpoints{Pool: pool}).Send(context.Background(), d)
+	if err == nil {
+		require.NoError(s.t, a.Body.Close())
+	}
+}
+
+// unusableText returns text that a header, a message or a reader of either doesn't keep as it is.
+func unusableText(rng *rand.Rand) string {
+	texts := []string{
+		"\r\n", "\n", "\r", "\x00", "\x7f", "\t", " ", "\xff", "\xc3", "\xed\xa0\x80", "\u0085", "\ufffd",
+		"\r\nX-Added: 1", "\r\n\r\n", strings.Repeat("x", 70_000),
+	}
+	return texts[rng.IntN(len(texts))]
+}
+
+// foreignWriter writes a report beside an engine, whose own report it may change.
+type foreignWriter func(rng *rand.Rand, engine string, r map[string]any) (id string, body []byte)
+
+// writersOfUnusableText write text that isn't the same after it was written and read.
+var writersOfUnusableText = []foreignWriter{
+	func(rng *rand.Rand, engine string, r map[string]any) (string, []byte) {
+		text := unusableText(rng)
+		return []string{engine + text, text + engine, text}[rng.IntN(3)], encode(r)
+	},
+	func(rng *rand.Rand, _ string, r map[string]any) (string, []byte) {
+		name := []string{"service", "zone", "version", "address"}[rng.IntN(4)]
+		r["address"] = "127.0.0.9:9"
+		r[name] = r[name].(string) + unusableText(rng)
+		return agentID(rng), encode(r)
+	},
+	func(rng *rand.Rand, _ string, r map[string]any) (string, []byte) {
+		const place = "PLACE"
+		name := []string{"service", "zone", "version", "address"}[rng.IntN(4)]
+		r["address"] = "127.0.0.9:9"
+		r[name] = r[name].(string) + place
+		return agentID(rng), bytes.ReplaceAll(encode(r), []byte(place), []byte(unusableText(rng)))
+	},
+}
+
+func agentID(rng *rand.Rand) string { return fmt.Sprint("agent-", rng.IntN(4)) }
+
+// putForeign has one of the writers send a report beside an engine drawn at random. It may claim an
+// earlier or a later start, the start of the engine, or a sequence that runs ahead.
+func (s *reportedSite) putForeign(writers []foreignWriter) {
+	e := s.engines[s.rng.IntN(len(s.engines))]
+	r := maps.Clone(e.report)
+	r["born"] = r["born"].(int) + []int{-5000, 0, 5000}[s.rng.IntN(3)]
+	r["sequence"] = []int{0, r["sequence"].(int), 1 << 40}[s.rng.IntN(3)]
+	r["state"] = []string{"ready", "draining"}[s.rng.IntN(2)]
+	s.put(writers[s.rng.IntN(len(writers))](s.rng, e.id, r))
+}
+
+// requireForeignReportsChangeNothing sends reports of writers between those of sound engines, to
+// processes that have just started, with several seeds.
+func requireForeignReportsChangeNothing(t *testing.T, writers []foreignWriter) {
+	t.Helper()
+	const seeds, rounds, reportsPerRound = 40, 8, 12
+	for seed := range uint64(seeds) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			s := newReportedSite(t, seed)
+			for range rounds {
+				for range reportsPerRound {
+					s.putForeign(writers)
+				}
+				s.beat()
+				s.exchange()
+			}
+			for _, p := range s.processes[:3] {
+				s.tell(p, p.directory.States())
+			}
+			s.requireSoundEnginesServe()
+		})
+	}
+}
+
+// TestUnusableNamesChangeNothing guards against names in reports that can't be written and read back
+// unchanged: they cut the requests that are sent to engines, or keep the news of all others back.
+func TestUnusableNamesChangeNothing(t *testing.T) {
+	requireForeignReportsChangeNothing(t, writersOfUnusableText)
+}
+
+// TestReportWithUnusableNameIsRefused guards against a report that is acknowledged though its names
+// can't be used, and against one that is refused without a reason in the log.
+func TestReportWithUnusableNameIsRefused(t *testing.T) {
+	s := newReportedSite(t, 1)
+	report := encode(s.engines[0].report)
+	for _, id := range []string{"i-1\r\n", "i-1\n", " i-1", "i-1 ", "i-\x00", "i-\xff", strings.Repeat("x", 2000)} {
+		for _, method := range []string{http.MethodPut, http.MethodDelete} {
+			require.Equal(t, http.StatusBadRequest, s.call(method, id, report, s.processes[0]), "%s %q", method, id)
+		}
+	}
+	for _, p := range s.processes {
+		require.Empty(t, p.directory.Endpoints())
+	}
+}
--- a/endpoint.go
+++ b/endpoint.go
@@ -3,6 +3,9 @@
 import (
 	"slices"
 	"time"
+	"unicode/utf8"
+
+	"github.com/go-faster/errors"
 )
 
 // Endpoint describes a model engine or a plain service as it was last announced.
@@ -35,6 +38,37 @@
 	SeenAt time.Time
 }
 
+// MaxVersionBytes is the length of the longest Version that Check accepts. It holds the
+// versions of an endpoint's software and of all its models.
+const MaxVersionBytes = 4096
+
+// Check returns an error if a name that the endpoint has announced can't be written and
+// read back unchanged, see CheckName. Such an endpoint must not be stored: requests to it
+// could be cut at its name, and a message that names it couldn't be encoded. The zone and
+// the version may be empty, and the address if all that is known is that the endpoint left.
+func (e Endpoint) Check() error {
+	if err := CheckName(e.ID); err != nil {
+		return errors.Wrap(err, "id")
+	}
+	if err := CheckName(e.Address); e.Address != "" && err != nil {
+		return errors.Wrap(err, "address")
+	}
+	if err := CheckName(e.Zone); e.Zone != "" && err != nil {
+		return errors.Wrap(err, "zone")
+	}
+	if !utf8.ValidString(e.Version) || len(e.Version) > MaxVersionBytes {
+		return errors.Errorf("version: expected at most %d bytes of UTF-8", MaxVersionBytes)
+	}
+	for _, names := range [][]string{e.Services, e.Models, e.Adapters} {
+		for _, name := range names {
+			if err := CheckName(name); err != nil {
+				return errors.Wrap(err, "services, models, adapters")
+			}
+		}
+	}
+	return nil
+}
+
 // WithDead returns a copy that is marked as dead, or as alive again.
 func (e Endpoint) WithDead(dead bool) Endpoint {
 	e.Dead = dead
--- a/endpt/announce.go
+++ b/endpt/announce.go
@@ -60,12 +60,12 @@
 		return
 	}
 	var m Announcement
-	d := json.NewDecoder(ctx.Request().Body)
-	if err := d.Decode(&m); err != nil {
-		ctx.StopWithText(http.StatusBadRequest, "announcement: %v", err)
-		return
+	err := json.NewDecoder(ctx.Request().Body).Decode(&m)
+	if err == nil {
+		err = m.check()
 	}
-	if err := m.check(); err != nil {
+	if err != nil {
+		a.Events.Record(buckthornpin.Event{Kind: buckthornpin.EventEndpointRefused, Detail: "announcement from " + ctx.RemoteAddr() + ": " + err.Error()})
 		ctx.StopWithText(http.StatusBadRequest, "announcement: %v", err)
 		return
 	}
@@ -89,7 +89,7 @@
 	if m.Incarnation <= 0 || m.Sequence <= 0 {
 		return errors.New("incarnation, sequence: expected numbers above 0")
 	}
-	return nil
+	return m.endpoint(time.Time{}).Check()
 }
 
 func (m Announcement) endpoint(now time.Time) buckthornpin.Endpoint {
--- a/event.go
+++ b/event.go
@@ -26,6 +26,7 @@
 	EventEndpointUpdated     EventKind = "endpoint_new"
 	EventEndpointLeaving     EventKind = "endpoint_leaving"
 	EventEndpointDead        EventKind = "endpoint_dead"
+	EventEndpointRefused     EventKind = "endpoint_refused"
 	EventConfigurationChange EventKind = "configuration"
 	EventLeaderChanged       EventKind = "leader"
 	EventLeaderLost          EventKind = "leader_lost"
--- a/peer/directory.go
+++ b/peer/directory.go
@@ -53,8 +53,21 @@
 	byTarget map[buckthornpin.Target][]*buckthornpin.Endpoint
 }
 
+// accepts reports whether an endpoint may be stored, and records why not. What reports it may
+// be a process of a build that checks names less strictly.
+func (d *Directory) accepts(e buckthornpin.Endpoint) bool {
+	err := e.Check()
+	if err != nil {
+		d.Events.Record(buckthornpin.Event{Kind: buckthornpin.EventEndpointRefused, Detail: err.Error()})
+	}
+	return err == nil
+}
+
 // Put stores an announcement that came from the endpoint itself.
 func (d *Directory) Put(e buckthornpin.Endpoint) {
+	if !d.accepts(e) {
+		return
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	old := d.entries[e.ID]
@@ -155,12 +168,16 @@
 // bring it back. If its incarnation isn't known either, every report of another process
 // supersedes the record.
 func (d *Directory) Leave(id string, incarnation int64) {
+	left := buckthornpin.Endpoint{ID: id, Incarnation: incarnation, Leaving: true}
+	if !d.accepts(left) {
+		return
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	old := d.entries[id]
 	switch {
 	case old == nil || incarnation > old.endpoint.Incarnation:
-		d.store(buckthornpin.Endpoint{ID: id, Incarnation: incarnation, Leaving: true}, old)
+		d.store(left, old)
 	case old.endpoint.Leaving || incarnation != 0 && incarnation < old.endpoint.Incarnation:
 	default:
 		leaving := old.endpoint.WithLeaving()
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -251,6 +251,10 @@
 	defer cancel()
 	reply, err := m.client(address).Tell(ctx, r)
 	if err != nil {
+		// Other errors mean that the process can't be reached.
+		if connect.CodeOf(err) == connect.CodeInternal {
+			m.Log.Error().Err(err).Str("address", address).Int("endpoints", len(r.GetEndpoints())).Msg("message to a process failed")
+		}
 		m.Nodes.setCompared(address, false)
 		return false
 	}
--- a/peer/news.go
+++ b/peer/news.go
@@ -50,16 +50,25 @@
 	return out
 }
 
-// Merge merges endpoint states reported by another process. It returns this process's
+func decodeState(s *wire.EndpointState) buckthornpin.Endpoint {
+	return buckthornpin.Endpoint{
+		ID: s.GetEndpoint(), Address: s.GetAddress(), Zone: s.GetZone(), Models: s.GetModels(), Adapters: s.GetAdapters(), Services: s.GetServices(),
+		Capacity: int(s.GetCapacity()), Incarnation: s.GetIncarnation(), Sequence: s.GetSequence(),
+		Leaving: s.GetLeaving(), Dead: s.GetDead(), Version: s.GetVersion(),
+	}
+}
+
+// Merge merges endpoint states reported by another process. One that can't be used is left out,
+// so that it doesn't keep the others back. It returns this process's
 // states of those endpoints of which the other one knows only an earlier incarnation.
 func (d *Directory) Merge(states []*wire.EndpointState) []*wire.EndpointState {
 	var newer []*wire.EndpointState
 	for _, s := range states {
-		known := d.MergeEndpoint(buckthornpin.Endpoint{
-			ID: s.GetEndpoint(), Address: s.GetAddress(), Zone: s.GetZone(), Models: s.GetModels(), Adapters: s.GetAdapters(), Services: s.GetServices(),
-			Capacity: int(s.GetCapacity()), Incarnation: s.GetIncarnation(), Sequence: s.GetSequence(),
-			Leaving: s.GetLeaving(), Dead: s.GetDead(), Version: s.GetVersion(),
-		})
+		e := decodeState(s)
+		if !d.accepts(e) {
+			continue
+		}
+		known := d.MergeEndpoint(e)
 		if known.Incarnation > s.GetIncarnation() {
 			newer = append(newer, endpointState(known))
 		}
--- a/relay/flight_test.go
+++ b/relay/flight_test.go
@@ -310,6 +310,15 @@
 		require.True(t, reply.broken)
 		require.Equal(t, events("12"), reply.body.String(), "no event is delivered twice")
 	})
+	t.Run("event id that can't be sent back", func(t *testing.T) {
+		// No other endpoint is asked to go on: there is one step only.
+		for _, id := range []string{"1\rX-Added: 1", "1\x00", "1\xff", ""} {
+			event := "id: " + id + "\ndata: a\n\n"
+			reply, _, _ := serve(t, "/resume/x", step{answer: brokenStream(event)})
+			require.True(t, reply.broken, "%q", id)
+			require.Equal(t, event, reply.body.String())
+		}
+	})
 	t.Run("second endpoint fails too", func(t *testing.T) {
 		reply, _, _ := serve(t, "/resume/x", step{answer: brokenStream(events("1"))}, step{answer: brokenStream(events("2"))})
 		require.True(t, reply.broken)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -155,7 +155,8 @@
 	f.beginAnswer(a)
 	f.progress.delivered += int64(bytes.Count(events, eventEnd))
 	if id, ok := lastID(events); ok {
-		f.progress.lastID, f.progress.unidentified = id, false
+		// An id that can't be sent back names no event to go on from.
+		f.progress.lastID, f.progress.unidentified = id, buckthornpin.CheckName(id) != nil
 	}
 	f.progress.unidentified = f.progress.unidentified || hasDataAfterLastID(events)
 	if err := f.reply.Write(events); err != nil {
--- a/site/check.go
+++ b/site/check.go
@@ -77,7 +77,9 @@
 func (k *checker) checkOrganisations(organisations []Organisation) {
 	owners := map[string]string{}
 	for _, o := range organisations {
-		k.expect(o.Name != "", "organisation without a name")
+		// Endpoints are told the name in a header.
+		err := buckthornpin.CheckName(o.Name)
+		k.expect(err == nil, "organisation: %v", err)
 		k.expect(o.Prepaid == Unlimited || buckthornpin.IsTokenCount(o.Prepaid), "organisation %q: prepaid: expected 0 to %d tokens", o.Name, buckthornpin.MaxTokens)
 		for _, key := range o.Keys {
 			owner, taken := owners[key]
--- a/site/configuration_test.go
+++ b/site/configuration_test.go
@@ -68,6 +68,7 @@
 		{"all weights 0", func(c *Configuration) { c.Routes[0].Shares[0].Weight = 0 }, "weights add up to 0"},
 		{"no timeout", func(c *Configuration) { c.Routes[0].Timeout = 0 }, "timeout 0s"},
 		{"key of two organisations", func(c *Configuration) { c.Organisations[1].Keys = []string{"k1"} }, "share a key"},
+		{"organisation that no header can name", func(c *Configuration) { c.Organisations[0].Name = "fleet\r\n" }, "control character"},
 		{"kind", func(c *Configuration) { c.Routes[0].Kind = "odd" }, `kind "odd"`},
 		{"prefix", func(c *Configuration) { c.Routes[1].PathPrefix = "/chat" }, "slashes at both ends"},
 	}
