A report changes only the endpoint that it names

Cause: the first announcement under an id marked all earlier processes at its address as leaving, for good and at all routers: a report is evidence about its sender and was believed about others. An announcement under an engine's id for another service with a later start also replaced the engine.

Ruled out: that the engines said that they leave (no call to leave is logged), that they count as dead (the event is endpoint_leaving, and their reports don't end it). Each mark follows the first report of an agent at the same process, in the logs of the case. Asking whether a configuration names the service would not do: agents may report for a known one, and a process that has just started knows none.

Change: the mark by address is gone; 421 and silence tell what became of an endpoint. On the platform's processes the directory keeps what is known by id and service. A departure without a service holds for all services of its id. Weighed, and not built: a mark that the endpoint's next report ends, and one for silent endpoints only.

Why it works: no entry is compared with, or changed by, a report of another id or service; the test has every kind of such a report between sound ones, in any order.

--- a/app/fleet.go
+++ b/app/fleet.go
@@ -135,7 +135,9 @@
 		},
 		AliveFor: contact, ForgetAfter: forgetAfterContacts * contact, OnJoin: p.logJoinedNode,
 	}
-	p.directory = &peer.Directory{Events: p.events, DeadAfter: deadAfterHeartbeats * time.Duration(platform.Heartbeat), Addresses: p.livingAddresses}
+	p.directory = &peer.Directory{
+		Events: p.events, DeadAfter: deadAfterHeartbeats * time.Duration(platform.Heartbeat), Addresses: p.livingAddresses, SplitByService: true,
+	}
 	p.mesh = &peer.Mesh{
 		Nodes: p.nodes, Directory: p.directory, HTTP: p.dialer.InternalClient(), Scheme: p.dialer.Scheme(),
 		Seeds: p.otherSeeds, Log: p.Log,
--- a/app/foreign_announcements_test.go
+++ b/app/foreign_announcements_test.go
@@ -30,13 +30,22 @@
 // unchanged, so that no message of a router that has heard them can be encoded or used.
 func TestUnusableNamesOnOurInterface(t *testing.T) {
 	for seed := range uint64(announcementSeeds) {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { announceAmongForeign(t, seed) })
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { announceAmongForeign(t, seed, drawUnusableName) })
+	}
+}
+
+// TestAnnouncementAtASoundAddress guards against an announcement that takes a sound endpoint at its
+// address out of service.
+func TestAnnouncementAtASoundAddress(t *testing.T) {
+	asItIs := func(_ *rand.Rand, a endpt.Announcement) endpt.Announcement { return a }
+	for seed := range uint64(announcementSeeds) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { announceAmongForeign(t, seed, asItIs) })
 	}
 }
 
 // announceAmongForeign sends announcements of two sound endpoints to a router, drawn ones of another
 // writer between them, and requires that a second router learns of the two and uses them.
-func announceAmongForeign(t *testing.T, seed uint64) {
+func announceAmongForeign(t *testing.T, seed uint64, draw func(rng *rand.Rand, a endpt.Announcement) endpt.Announcement) {
 	t.Helper()
 	rng := rand.New(rand.NewPCG(seed, 1))
 	first, second := newAnnouncedDirectory(), newAnnouncedDirectory()
@@ -59,7 +68,7 @@
 		foreign := sound[rng.IntN(2)]
 		foreign.Endpoint, foreign.Sequence = fmt.Sprint("agent-", rng.IntN(4)), 1
 		foreign.Incarnation += int64(rng.IntN(3)) - 1
-		foreign = drawUnusableName(rng, foreign)
+		foreign = draw(rng, foreign)
 		if err := foreignCheck(foreign); err != nil {
 			require.Equal(t, http.StatusBadRequest, announce(foreign), "%v", err)
 		} else {
--- a/app/foreign_reports_test.go
+++ b/app/foreign_reports_test.go
@@ -234,6 +234,31 @@
 	},
 }
 
+// writersOfOtherEndpoints write reports that can be read, but name no engine to use, or one of
+// their own.
+var writersOfOtherEndpoints = []foreignWriter{
+	func(rng *rand.Rand, engine string, r map[string]any) (string, []byte) {
+		r["service"] = "host-agent"
+		return []string{agentID(rng), engine}[rng.IntN(2)], encode(r)
+	},
+	func(rng *rand.Rand, engine string, r map[string]any) (string, []byte) {
+		r["service"], r["address"] = "host-agent", "127.0.0.9:9"
+		return []string{agentID(rng), engine}[rng.IntN(2)], encode(r)
+	},
+	func(rng *rand.Rand, _ string, r map[string]any) (string, []byte) { return agentID(rng), encode(r) },
+	func(rng *rand.Rand, engine string, r map[string]any) (string, []byte) {
+		name := []string{"service", "address", "slots", "state", "sequence"}[rng.IntN(5)]
+		if r[name] = []any{}; rng.IntN(2) == 0 {
+			delete(r, name)
+		}
+		return engine, encode(r)
+	},
+	func(rng *rand.Rand, engine string, r map[string]any) (string, []byte) {
+		data := encode(r)
+		return engine, data[:rng.IntN(len(data))]
+	},
+}
+
 func agentID(rng *rand.Rand) string { return fmt.Sprint("agent-", rng.IntN(4)) }
 
 // putForeign has one of the writers send a report beside an engine drawn at random. It may claim an
@@ -276,6 +301,12 @@
 	requireForeignReportsChangeNothing(t, writersOfUnusableText)
 }
 
+// TestReportsOfOtherEndpointsChangeNothing guards against reports that take sound engines out of
+// service: those that name an engine's id or address for another service, or can't be read.
+func TestReportsOfOtherEndpointsChangeNothing(t *testing.T) {
+	requireForeignReportsChangeNothing(t, writersOfOtherEndpoints)
+}
+
 // TestReportWithUnusableNameIsRefused guards against a report that is acknowledged though its names
 // can't be used, and against one that is refused without a reason in the log.
 func TestReportWithUnusableNameIsRefused(t *testing.T) {
--- a/peer/directory.go
+++ b/peer/directory.go
@@ -28,26 +28,17 @@
 	DeadAfter time.Duration
 	// Addresses returns the addresses of the routers that take announcements.
 	Addresses func() []string
+	// SplitByService keeps what is announced under one id for different services apart.
+	// It is set where anyone may announce endpoints, and each has one service: an
+	// announcement for another service then doesn't affect the endpoint with that id.
+	SplitByService bool
 
-	mu      sync.Mutex
-	entries map[string]*entry
+	mu sync.Mutex
+	// entries is indexed by id, then as entryKey says.
+	entries map[string]map[string]*entry
 	index   atomic.Pointer[directoryIndex]
 }
 
-// entry holds an endpoint and the number of times its update still has to be sent.
-type entry struct {
-	endpoint buckthornpin.Endpoint
-	// newestSequence is the sequence number of the newest announcement received from
-	// the endpoint itself.
-	newestSequence int64
-	remainingSends int
-	endedAt        time.Time
-}
-
-// identified reports whether the endpoint has been announced. Otherwise all that is known
-// of it is that it left.
-func (e *entry) identified() bool { return e.endpoint.Address != "" || e.endpoint.Incarnation != 0 }
-
 type directoryIndex struct {
 	all      []*buckthornpin.Endpoint
 	byTarget map[buckthornpin.Target][]*buckthornpin.Endpoint
@@ -70,10 +61,9 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	old := d.entries[e.ID]
+	old := d.known(e)
 	if old == nil {
 		d.store(e, nil)
-		d.markPredecessorsLeaving(e)
 		return
 	}
 	if old.endpoint.Incarnation > e.Incarnation || d.leftUnidentified(old, e) {
@@ -92,17 +82,42 @@
 	d.store(e, old)
 }
 
-// MergeEndpoint merges an endpoint state reported by another process and returns the
-// endpoint as it is known now.
-func (d *Directory) MergeEndpoint(e buckthornpin.Endpoint) buckthornpin.Endpoint {
+// MergeEndpoint merges an endpoint state reported by another process. It returns what this
+// process knows of later incarnations.
+func (d *Directory) MergeEndpoint(e buckthornpin.Endpoint) (later []buckthornpin.Endpoint) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.merge(d.entries[e.ID], e)
-	return d.entries[e.ID].endpoint
+	if d.entryKey(e) != "" || !d.mergeDeparture(e) {
+		d.merge(d.known(e), e)
+	}
+	for key, k := range d.entries[e.ID] {
+		comparable := key == d.entryKey(e) || key == "" || d.entryKey(e) == ""
+		if comparable && k.endpoint.Incarnation > e.Incarnation {
+			later = append(later, k.endpoint)
+		}
+	}
+	return later
 }
 
-// merge merges a reported state with the entry of the endpoint, if there is one. The
-// caller holds mu.
+// mergeDeparture merges a report that says no more of an endpoint than that it left, with the
+// entries of its services. It returns false if none of them is of that incarnation or a later
+// one, so that the report has to be kept. The caller holds mu.
+func (d *Directory) mergeDeparture(e buckthornpin.Endpoint) bool {
+	merged := false
+	for key, k := range d.entries[e.ID] {
+		if key == "" {
+			continue
+		}
+		if e.Leaving && !k.endpoint.Leaving && k.endpoint.Incarnation <= e.Incarnation {
+			d.store(k.endpoint.WithLeaving(), k)
+		}
+		merged = merged || k.endpoint.Incarnation >= e.Incarnation
+	}
+	return merged
+}
+
+// merge merges a reported state with the entry that it is compared with, if there is one.
+// The caller holds mu.
 func (d *Directory) merge(old *entry, e buckthornpin.Endpoint) {
 	if old == nil {
 		d.store(e, nil)
@@ -156,11 +171,11 @@
 func (d *Directory) MarkLeaving(id string, incarnation int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	old := d.entries[id]
-	if old == nil || old.endpoint.Incarnation != incarnation || old.endpoint.Leaving {
-		return
+	for _, k := range d.entries[id] {
+		if k.endpoint.Incarnation == incarnation && !k.endpoint.Leaving {
+			d.store(k.endpoint.WithLeaving(), k)
+		}
 	}
-	d.store(old.endpoint.WithLeaving(), old)
 }
 
 // Leave records that an incarnation of an endpoint is leaving, or the newest known one if
@@ -174,15 +189,17 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	old := d.entries[id]
-	switch {
-	case old == nil || incarnation > old.endpoint.Incarnation:
-		d.store(left, old)
-	case old.endpoint.Leaving || incarnation != 0 && incarnation < old.endpoint.Incarnation:
-	default:
-		leaving := old.endpoint.WithLeaving()
-		leaving.Sequence = old.newestSequence
-		d.store(leaving, old)
+	all := d.entries[id]
+	if len(all) == 0 || incarnation > newestIncarnation(all) {
+		d.store(left, all[""])
+	}
+	for _, k := range all {
+		if k.endpoint.Leaving || incarnation != 0 && incarnation < k.endpoint.Incarnation {
+			continue
+		}
+		leaving := k.endpoint.WithLeaving()
+		leaving.Sequence = k.newestSequence
+		d.store(leaving, k)
 	}
 }
 
@@ -192,29 +209,23 @@
 func (d *Directory) hasLeft(id string, incarnation int64) (left, identified bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	e := d.entries[id]
-	if e == nil {
-		return false, false
-	}
-	return e.endpoint.Leaving || incarnation != 0 && incarnation < e.endpoint.Incarnation, e.identified()
-}
-
-// markPredecessorsLeaving marks earlier processes at the address of an endpoint as
-// leaving. The caller holds mu.
-func (d *Directory) markPredecessorsLeaving(e buckthornpin.Endpoint) {
-	for id, old := range d.entries {
-		o := old.endpoint
-		if id != e.ID && o.Address == e.Address && !o.Leaving && o.Incarnation > 0 && o.Incarnation < e.Incarnation {
-			d.store(o.WithLeaving(), old)
-		}
+	all := d.entries[id]
+	left = len(all) > 0
+	for _, k := range all {
+		left = left && (k.endpoint.Leaving || incarnation != 0 && incarnation < k.endpoint.Incarnation)
+		identified = identified || k.identified()
 	}
+	return left, identified
 }
 
 // store stores a changed endpoint and schedules its update for the other processes. The
 // caller holds mu.
 func (d *Directory) store(e buckthornpin.Endpoint, old *entry) {
 	if d.entries == nil {
-		d.entries = map[string]*entry{}
+		d.entries = map[string]map[string]*entry{}
+	}
+	if d.entries[e.ID] == nil {
+		d.entries[e.ID] = map[string]*entry{}
 	}
 	next := &entry{endpoint: e, newestSequence: e.Sequence, remainingSends: d.RequiredSends()}
 	if old != nil && old.endpoint.Incarnation == e.Incarnation {
@@ -223,7 +234,7 @@
 	if e.Leaving || e.Dead {
 		next.endedAt = time.Now()
 	}
-	d.entries[e.ID] = next
+	d.entries[e.ID][d.entryKey(e)] = next
 	d.index.Store(nil)
 	d.recordEvent(old, e)
 }
@@ -247,7 +258,7 @@
 func (d *Directory) Sweep(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for id, old := range d.entries {
+	for old := range d.each() {
 		e := old.endpoint
 		silent := !e.SeenAt.IsZero() && now.Sub(e.SeenAt) > d.DeadAfter
 		if silent && !e.Dead && !e.Leaving {
@@ -256,8 +267,7 @@
 			d.store(dead, old)
 		}
 		if !old.endedAt.IsZero() && now.Sub(old.endedAt) > endedEndpointRetention {
-			delete(d.entries, id)
-			d.index.Store(nil)
+			d.remove(e)
 		}
 	}
 }
@@ -266,7 +276,7 @@
 func (d *Directory) Has(id string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.entries[id] != nil
+	return len(d.entries[id]) > 0
 }
 
 // AnnounceAddresses returns the addresses of the routers that take announcements.
@@ -301,11 +311,13 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	ix := &directoryIndex{byTarget: map[buckthornpin.Target][]*buckthornpin.Endpoint{}}
-	for _, old := range d.entries {
+	for old := range d.each() {
 		e := old.endpoint
 		ix.all = append(ix.all, &e)
 	}
-	slices.SortFunc(ix.all, func(a, b *buckthornpin.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(ix.all, func(a, b *buckthornpin.Endpoint) int {
+		return cmp.Or(cmp.Compare(a.ID, b.ID), slices.Compare(a.Services, b.Services))
+	})
 	for _, e := range ix.all {
 		ix.add(e)
 	}
--- a/peer/directory_test.go
+++ b/peer/directory_test.go
@@ -23,13 +23,27 @@
 }
 
 func newEngine(sequence int64) buckthornpin.Endpoint {
-	return buckthornpin.Endpoint{ID: "engine", Models: []string{"m"}, Capacity: 1, Incarnation: 1, Sequence: sequence, SeenAt: time.Now()}
+	return buckthornpin.Endpoint{
+		ID: "engine", Models: []string{"m"}, Services: []string{"s"}, Capacity: 1, Incarnation: 1, Sequence: sequence, SeenAt: time.Now(),
+	}
+}
+
+// runSplitOrNot runs a test with directories that keep the services of an id apart, and with others.
+func runSplitOrNot(t *testing.T, description string, test func(t *testing.T, splitByService bool)) {
+	t.Run(description, func(t *testing.T) { test(t, false) })
+	t.Run(description+", split by service", func(t *testing.T) { test(t, true) })
 }
 
+// onlyEndpoint returns the endpoint that a directory knows. With SplitByService, a record that an
+// incarnation has left may stand beside it.
 func onlyEndpoint(t *testing.T, d *Directory) *buckthornpin.Endpoint {
 	t.Helper()
-	require.Len(t, d.Endpoints(), 1)
-	return d.Endpoints()[0]
+	known := d.Serving(buckthornpin.Target{Service: "s"})
+	if !d.SplitByService || len(known) == 0 {
+		known = d.Endpoints()
+	}
+	require.Len(t, known, 1)
+	return known[0]
 }
 
 func TestAnnouncements(t *testing.T) {
@@ -74,8 +88,9 @@
 		{"a later report of another router that it is dead", func(d *Directory) { d.MergeEndpoint(newEngine(7).WithDead(true)) }, false, true},
 	}
 	for _, s := range scenarios {
-		t.Run(s.description, func(t *testing.T) {
+		runSplitOrNot(t, s.description, func(t *testing.T, split bool) {
 			d := newDirectory(4)
+			d.SplitByService = split
 			d.Put(newEngine(1))
 			s.run(d)
 			require.Equal(t, s.leaving, onlyEndpoint(t, d).Leaving)
@@ -178,3 +193,38 @@
 		})
 	}
 }
+
+// TestServicesOfOneIDAreSplit guards against an announcement under the id of an endpoint for another
+// service that takes it out of service, and against a departure that doesn't reach all services.
+func TestServicesOfOneIDAreSplit(t *testing.T) {
+	other := func(incarnation int64) buckthornpin.Endpoint {
+		e := newEngine(1 << 40)
+		e.Services, e.Incarnation = []string{"other"}, incarnation
+		return e
+	}
+	scenarios := []struct {
+		description string
+		run         func(d *Directory)
+		leaving     bool
+	}{
+		{"a later start for another service", func(d *Directory) { d.Put(newEngine(1)); d.Put(other(9)); d.Put(newEngine(2)) }, false},
+		{"that comes first", func(d *Directory) { d.Put(other(9)); d.Put(newEngine(1)) }, false},
+		{"that is reported by another process", func(d *Directory) { d.Put(newEngine(1)); d.MergeEndpoint(other(9).WithLeaving()) }, false},
+		{"the same start for another service, leaving", func(d *Directory) { d.Put(newEngine(1)); d.Put(other(1).WithLeaving()) }, false},
+		{"the endpoint leaves", func(d *Directory) { d.Put(newEngine(1)); d.Put(other(9)); d.Leave("engine", 0) }, true},
+		{"its incarnation leaves", func(d *Directory) { d.Put(newEngine(1)); d.Put(other(9)); d.Leave("engine", 1) }, true},
+		{"another incarnation leaves", func(d *Directory) {
+			d.Put(newEngine(1))
+			d.Put(other(0))
+			d.MergeEndpoint(buckthornpin.Endpoint{ID: "engine", Leaving: true})
+		}, false},
+	}
+	for _, s := range scenarios {
+		t.Run(s.description, func(t *testing.T) {
+			d := newDirectory(4)
+			d.SplitByService = true
+			s.run(d)
+			require.Equal(t, s.leaving, onlyEndpoint(t, d).Leaving)
+		})
+	}
+}
--- a/peer/leave.go
+++ b/peer/leave.go
@@ -45,10 +45,10 @@
 	if !m.comparedWithRouter.Load() {
 		return &Error{Op: "confirm leaving", Kind: KindUnreachable, Err: errors.New("no router has told its endpoints since the start")}
 	}
-	state := m.Directory.state(id)
-	answered := m.push(ctx, state)
-	_, identified := m.Directory.hasLeft(id, 0)
-	m.Log.Info().Str("endpoint", id).Int64("incarnation", state.GetIncarnation()).Bool("leaving", state.GetLeaving()).
+	states := m.Directory.statesOf(id)
+	answered := m.push(ctx, states)
+	left, identified := m.Directory.hasLeft(id, 0)
+	m.Log.Info().Str("endpoint", id).Int64("incarnation", latestIncarnation(states)).Bool("leaving", left).
 		Bool("identified", identified).Int64("routers", answered).Msg("processes were told of an endpoint that leaves")
 	if !identified && answered == 0 {
 		return &Error{Op: "confirm leaving", Kind: KindUnreachable, Err: errors.Errorf("no router answered and %s is unknown", id)}
@@ -56,14 +56,22 @@
 	return nil
 }
 
-// push sends the state of an endpoint to the living processes, waits for their answers up
+func latestIncarnation(states []*wire.EndpointState) int64 {
+	latest := int64(0)
+	for _, s := range states {
+		latest = max(latest, s.GetIncarnation())
+	}
+	return latest
+}
+
+// push sends the states of an endpoint to the living processes, waits for their answers up
 // to pushTimeout and returns the number of routers that have answered. With many processes
 // only some are contacted, and the rounds spread the state further.
-func (m *Mesh) push(ctx context.Context, state *wire.EndpointState) int64 {
-	if state == nil {
+func (m *Mesh) push(ctx context.Context, states []*wire.EndpointState) int64 {
+	if len(states) == 0 {
 		return 0
 	}
-	request := m.newRequest([]*wire.EndpointState{state}, nil)
+	request := m.newRequest(states, nil)
 	var routers atomic.Int64
 	var wg sync.WaitGroup
 	for _, n := range drawNodes(m.Nodes.Living(time.Now()), maxFullMesh) {
--- a/peer/leave_test.go
+++ b/peer/leave_test.go
@@ -23,7 +23,7 @@
 
 // newLeavingMesh starts a mesh whose routers know an endpoint and whose first control
 // process has just started.
-func newLeavingMesh(t *testing.T) *leavingMesh {
+func newLeavingMesh(t *testing.T, splitByService bool) *leavingMesh {
 	t.Helper()
 	var seeds []string
 	m := &leavingMesh{t: t, endpoint: buckthornpin.Endpoint{
@@ -32,6 +32,9 @@
 	m.control, m.other = newMeshNode(t, true, &seeds), newMeshNode(t, true, &seeds)
 	m.routers = []*meshNode{newMeshNode(t, false, &seeds), newMeshNode(t, false, &seeds)}
 	seeds = []string{m.other.Nodes.Self.Address}
+	for _, n := range m.all() {
+		n.Directory.SplitByService = splitByService
+	}
 	for _, n := range m.routers {
 		n.Directory.Put(m.endpoint)
 		for len(n.Directory.NextUpdates()) > 0 {
@@ -93,8 +96,8 @@
 		}},
 	}
 	for _, s := range scenarios {
-		t.Run(s.description, func(t *testing.T) {
-			m := newLeavingMesh(t)
+		runSplitOrNot(t, s.description, func(t *testing.T, split bool) {
+			m := newLeavingMesh(t, split)
 			m.meet()
 			m.control.comparedWithRouter.Store(true)
 			s.known(m)
@@ -109,7 +112,7 @@
 // they know as soon as it reaches them.
 func TestLeaveIsRefusedUntilRoutersAreKnown(t *testing.T) {
 	ctx := context.Background()
-	m := newLeavingMesh(t)
+	m := newLeavingMesh(t, true)
 	require.Error(t, m.control.Leave(ctx, "engine", 0))
 	m.control.Directory.Put(m.endpoint.WithLeaving())
 	require.Error(t, m.control.ConfirmLeaving(ctx, "engine"))
@@ -125,7 +128,7 @@
 // only routers know which can't be reached.
 func TestUnknownEndpointLeavesInACut(t *testing.T) {
 	ctx := context.Background()
-	m := newLeavingMesh(t)
+	m := newLeavingMesh(t, true)
 	m.meet()
 	m.control.comparedWithRouter.Store(true)
 	for _, n := range m.routers {
@@ -138,7 +141,7 @@
 // because they were cut off from control for longer than an update is sent.
 func TestLeaveReachesRoutersAfterACut(t *testing.T) {
 	ctx := context.Background()
-	m := newLeavingMesh(t)
+	m := newLeavingMesh(t, true)
 	m.meet()
 	m.control.round(ctx, time.Now())
 	for _, n := range m.routers {
@@ -196,9 +199,10 @@
 		}, true},
 	}
 	for _, s := range scenarios {
-		t.Run(s.description, func(t *testing.T) {
+		runSplitOrNot(t, s.description, func(t *testing.T, split bool) {
 			synctest.Test(t, func(t *testing.T) {
 				d := newDirectory(4)
+				d.SplitByService = split
 				s.run(d)
 				require.Equal(t, s.leaving, onlyEndpoint(t, d).Leaving)
 			})
--- a/peer/news.go
+++ b/peer/news.go
@@ -30,7 +30,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var out []*wire.EndpointState
-	for _, e := range d.entries {
+	for e := range d.each() {
 		if e.remainingSends > 0 && len(out) < maxUpdates {
 			e.remainingSends--
 			out = append(out, endpointState(e.endpoint))
@@ -44,7 +44,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	out := make([]*wire.EndpointState, 0, len(d.entries))
-	for _, e := range d.entries {
+	for e := range d.each() {
 		out = append(out, endpointState(e.endpoint))
 	}
 	return out
@@ -68,22 +68,22 @@
 		if !d.accepts(e) {
 			continue
 		}
-		known := d.MergeEndpoint(e)
-		if known.Incarnation > s.GetIncarnation() {
-			newer = append(newer, endpointState(known))
+		for _, later := range d.MergeEndpoint(e) {
+			newer = append(newer, endpointState(later))
 		}
 	}
 	return newer
 }
 
-// state returns the state of one endpoint, or nil if it is unknown.
-func (d *Directory) state(id string) *wire.EndpointState {
+// statesOf returns what is known under one id.
+func (d *Directory) statesOf(id string) []*wire.EndpointState {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if e := d.entries[id]; e != nil {
-		return endpointState(e.endpoint)
+	var out []*wire.EndpointState
+	for _, e := range d.entries[id] {
+		out = append(out, endpointState(e.endpoint))
 	}
-	return nil
+	return out
 }
 
 // Digest returns a hash of the identities, incarnations and addresses of all living
@@ -93,12 +93,12 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	sum := uint64(1)
-	for id, e := range d.entries {
+	for e := range d.each() {
 		if e.endpoint.Leaving || e.endpoint.Dead {
 			continue
 		}
 		h := xxhash.New()
-		_, _ = h.WriteString(id)
+		_, _ = h.WriteString(e.endpoint.ID)
 		_, _ = h.WriteString("/" + strconv.FormatInt(e.endpoint.Incarnation, 36) + "/" + e.endpoint.Address)
 		sum += h.Sum64()
 	}
