A router is ready once it knows an endpoint of a configured service

A router took connections as soon as anything was announced to it, also for a service that no configuration names, and refused what came on them with 503 no_endpoint while other routers may know endpoints.

Cause: readiness counted all entries of the directory.

Ruled out: asking for an endpoint of each service; one service without endpoints must not take routers out of service.

Change: Ready asks for an endpoint of one of the services of the configuration in force.

--- a/app/fleet.go
+++ b/app/fleet.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 	"github.com/rs/zerolog"
 
+	"buckthornpin"
 	"buckthornpin/budget"
 	"buckthornpin/clock"
 	"buckthornpin/config"
@@ -298,11 +299,18 @@
 	p.shares.RequestShares(charged)
 }
 
-// Ready reports whether a router takes new work: it has a configuration, its
-// directory has at least one endpoint, its network link isn't full, and it isn't stopping. It
-// must not be called on a control replica.
+// Ready reports whether a router takes new work: it has a configuration and knows an endpoint of
+// one of its services, its network link isn't full, and it isn't stopping. It must not be called
+// on a control replica.
 func (p *PlatformProcess) Ready() bool {
-	return !p.draining.Load() && p.mirror.Table() != nil && len(p.directory.Endpoints()) > 0 && !p.router.Guard.LinkFull(time.Now())
+	t := p.mirror.Table()
+	return !p.draining.Load() && t != nil && slices.ContainsFunc(t.Services, p.knowsEndpoint) && !p.router.Guard.LinkFull(time.Now())
+}
+
+// knowsEndpoint reports whether the router knows an endpoint of a service. Others may be
+// announced for services that aren't configured.
+func (p *PlatformProcess) knowsEndpoint(s site.Service) bool {
+	return len(p.directory.Serving(buckthornpin.Target{Service: s.Name})) > 0
 }
 
 const (
