A configuration that is committed doesn't pass through the log again

Cause: a put whose version is committed changes nothing, but the ledger said so only after the whole document had been written, replicated, synced and snapshotted. Operators send a put again after a second. Once the group needs longer than that, copies in the log make it slower still, and no account holds them any more: the calls that brought them have ended.

Change: the leader answers such a put without the log, as does the control VM that knows the version already.

Why it works: what a replica has applied is committed and durable; the work per copy no longer grows with the documents that came before.

--- a/app/fleet_control.go
+++ b/app/fleet_control.go
@@ -18,6 +18,9 @@
 
 // PutSite implements platf.Control.
 func (c *platformControl) PutSite(ctx context.Context, s site.Configuration, document []byte) error {
+	if s.Version <= c.process.replica.SiteVersion() {
+		return nil
+	}
 	_, err := putSite(ctx, c.process.client, s, document, wire.SiteFormat_SITE_FORMAT_UNSPECIFIED)
 	return err
 }
--- a/ctrl/call.go
+++ b/ctrl/call.go
@@ -56,11 +56,38 @@
 
 func (c *executeCall) refuse(err error) { c.done <- executeResult{err: err} }
 
-func (c *executeCall) start(_ *Replica, p *proposal) {
+func (c *executeCall) start(r *Replica, p *proposal) {
+	if result := r.superseded(c.commands); result != nil {
+		c.done <- executeResult{results: []*wire.Result{result}}
+		return
+	}
 	p.commands = append(p.commands, c.commands...)
 	p.calls = append(p.calls, c)
 }
 
+// superseded returns the result of putting a configuration that is committed already, or an older
+// one. It doesn't pass through the log: an operator who gets no answer in time sends a
+// configuration again, and a large one once more for each time would keep the log busy with them.
+// It returns nil for other commands, and on a replica that doesn't lead.
+func (r *Replica) superseded(commands []*wire.Command) *wire.Result {
+	if len(commands) != 1 || r.node.Role() != quorum.Leader {
+		return nil
+	}
+	put := commands[0].GetPutSite()
+	if put == nil || !r.ledger.HasSite(put.GetVersion()) {
+		return nil
+	}
+	return &wire.Result{Kind: wire.ResultKind_RESULT_KIND_OK, Version: r.ledger.Site().GetVersion()}
+}
+
+// SiteVersion returns the version of the newest configuration that this replica knows to be
+// committed; 0 before the first one.
+func (r *Replica) SiteVersion() int64 {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.ledger.Site().GetVersion()
+}
+
 // Execute commits commands and returns one result for each. KindNotLeader means that
 // nothing was done, KindLost that the commands may still be applied later.
 func (r *Replica) Execute(ctx context.Context, commands []*wire.Command) ([]*wire.Result, error) {
--- a/ledger/share.go
+++ b/ledger/share.go
@@ -65,7 +65,7 @@
 // putSite puts a site configuration in force if its version is higher than that of
 // the current one.
 func (l *Ledger) putSite(c *wire.PutSite) *wire.Result {
-	if c.GetVersion() <= l.site.GetVersion() {
+	if l.HasSite(c.GetVersion()) {
 		return &wire.Result{Kind: wire.ResultKind_RESULT_KIND_OK, Version: l.site.GetVersion()}
 	}
 	for _, t := range c.GetTotals() {
@@ -81,6 +81,10 @@
 	return &wire.Result{Kind: wire.ResultKind_RESULT_KIND_OK, Version: c.GetVersion()}
 }
 
+// HasSite reports whether the site has a configuration of a version, or a higher one. To put that
+// version again changes nothing.
+func (l *Ledger) HasSite(version int64) bool { return version <= l.site.GetVersion() }
+
 func (l *Ledger) getOrCreateAllowance(organisation string) *allowance {
 	a := l.allowances[organisation]
 	if a == nil {
