Tests of foreign reports without the platform's field names

Cause: the first form of app/foreign_reports_test.go wrote reports field by field, and so knew names that belong in platform/. Ruled out: nothing. A report that the decoder still takes goes under an id of its own. No check is changed.

--- a/app/foreign_reports_test.go
+++ b/app/foreign_reports_test.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/url"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -43,8 +44,8 @@
 
 // soundEngine serves requests and sends the heartbeats of a process that works.
 type soundEngine struct {
-	report map[string]any
-	id     string
+	// report is what it says of itself.
+	report buckthornpin.Endpoint
 
 	mu sync.Mutex
 	// changed are the requests that didn't arrive as they were sent.
@@ -81,12 +82,12 @@
 }
 
 func (s *reportedSite) addEngine(id, service string) {
-	e := &soundEngine{id: id}
+	e := &soundEngine{}
 	server := httptest.NewServer(e)
 	s.t.Cleanup(server.Close)
-	e.report = map[string]any{
-		"service": service, "address": strings.TrimPrefix(server.URL, "http://"), "zone": "zone-1", "version": "v1", "slots": 6,
-		"state": "ready", "cold-remaining-ms": 0, "sequence": 0, "born": 1_700_000_000_000 + s.rng.IntN(1000),
+	e.report = buckthornpin.Endpoint{
+		ID: id, Address: strings.TrimPrefix(server.URL, "http://"), Zone: "zone-1", Version: "v1", Services: []string{service}, Capacity: 6,
+		Incarnation: 1_700_000_000_000 + s.rng.Int64N(1000),
 	}
 	s.engines = append(s.engines, e)
 }
@@ -97,7 +98,7 @@
 	body, _ := io.ReadAll(r.Body)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if q.Endpoint != e.id {
+	if q.Endpoint != e.report.ID {
 		platf.EncodeEndpointAnswer(w.Header(), q.ID, "", true)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -125,17 +126,15 @@
 // beat has all sound engines send a heartbeat.
 func (s *reportedSite) beat() {
 	for _, e := range s.engines {
-		e.report["sequence"] = e.report["sequence"].(int) + 1
-		require.Equal(s.t, http.StatusOK, s.put(e.id, encode(e.report)))
+		e.report.Sequence++
+		require.Equal(s.t, http.StatusOK, s.put(encodeReport(e.report)))
 	}
 }
 
-func encode(report map[string]any) []byte {
-	data, err := json.Marshal(report)
-	if err != nil {
-		panic(err)
-	}
-	return data
+// encodeReport returns the id and the body of a report.
+func encodeReport(e buckthornpin.Endpoint) (id string, body []byte) {
+	_, body = platf.EncodeHeartbeat(e)
+	return e.ID, body
 }
 
 // exchange has each process tell the others what it has learned.
@@ -183,8 +182,8 @@
 		}
 	}
 	for _, e := range s.engines {
-		require.Empty(s.t, e.changed, e.id)
-		require.Equal(s.t, 1, e.served, "requests that %s got", e.id)
+		require.Empty(s.t, e.changed, e.report.ID)
+		require.Equal(s.t, 1, e.served, "requests that %s got", e.report.ID)
 	}
 }
 
@@ -210,66 +209,94 @@
 	return texts[rng.IntN(len(texts))]
 }
 
-// foreignWriter writes a report beside an engine, whose own report it may change.
-type foreignWriter func(rng *rand.Rand, engine string, r map[string]any) (id string, body []byte)
+// foreignWriter writes a report of its own from what an engine says of itself.
+type foreignWriter func(rng *rand.Rand, r buckthornpin.Endpoint) (id string, body []byte)
 
 // writersOfUnusableText write text that isn't the same after it was written and read.
 var writersOfUnusableText = []foreignWriter{
-	func(rng *rand.Rand, engine string, r map[string]any) (string, []byte) {
+	func(rng *rand.Rand, r buckthornpin.Endpoint) (string, []byte) {
 		text := unusableText(rng)
-		return []string{engine + text, text + engine, text}[rng.IntN(3)], encode(r)
+		r.ID = []string{r.ID + text, text + r.ID, text}[rng.IntN(3)]
+		return encodeReport(r)
 	},
-	func(rng *rand.Rand, _ string, r map[string]any) (string, []byte) {
-		name := []string{"service", "zone", "version", "address"}[rng.IntN(4)]
-		r["address"] = "127.0.0.9:9"
-		r[name] = r[name].(string) + unusableText(rng)
-		return agentID(rng), encode(r)
+	func(rng *rand.Rand, r buckthornpin.Endpoint) (string, []byte) {
+		return encodeReport(withText(rng, r, unusableText(rng)))
 	},
-	func(rng *rand.Rand, _ string, r map[string]any) (string, []byte) {
+	func(rng *rand.Rand, r buckthornpin.Endpoint) (string, []byte) {
 		const place = "PLACE"
-		name := []string{"service", "zone", "version", "address"}[rng.IntN(4)]
-		r["address"] = "127.0.0.9:9"
-		r[name] = r[name].(string) + place
-		return agentID(rng), bytes.ReplaceAll(encode(r), []byte(place), []byte(unusableText(rng)))
+		id, body := encodeReport(withText(rng, r, place))
+		return id, bytes.ReplaceAll(body, []byte(place), []byte(unusableText(rng)))
 	},
 }
 
+// withText adds text to a field of a report, and gives it an id and an address of its own.
+func withText(rng *rand.Rand, r buckthornpin.Endpoint, text string) buckthornpin.Endpoint {
+	r.ID, r.Address, r.Services = agentID(rng), foreignAddress, slices.Clone(r.Services)
+	field := []*string{&r.Services[0], &r.Zone, &r.Version, &r.Address}[rng.IntN(4)]
+	*field += text
+	return r
+}
+
 // writersOfOtherEndpoints write reports that can be read, but name no engine to use, or one of
 // their own.
 var writersOfOtherEndpoints = []foreignWriter{
-	func(rng *rand.Rand, engine string, r map[string]any) (string, []byte) {
-		r["service"] = "host-agent"
-		return []string{agentID(rng), engine}[rng.IntN(2)], encode(r)
+	func(rng *rand.Rand, r buckthornpin.Endpoint) (string, []byte) {
+		r.ID, r.Services = []string{agentID(rng), r.ID}[rng.IntN(2)], []string{"host-agent"}
+		return encodeReport(r)
+	},
+	func(rng *rand.Rand, r buckthornpin.Endpoint) (string, []byte) {
+		r.ID, r.Services, r.Address = []string{agentID(rng), r.ID}[rng.IntN(2)], []string{"host-agent"}, foreignAddress
+		return encodeReport(r)
 	},
-	func(rng *rand.Rand, engine string, r map[string]any) (string, []byte) {
-		r["service"], r["address"] = "host-agent", "127.0.0.9:9"
-		return []string{agentID(rng), engine}[rng.IntN(2)], encode(r)
+	func(rng *rand.Rand, r buckthornpin.Endpoint) (string, []byte) {
+		r.ID = agentID(rng)
+		return encodeReport(r)
 	},
-	func(rng *rand.Rand, _ string, r map[string]any) (string, []byte) { return agentID(rng), encode(r) },
-	func(rng *rand.Rand, engine string, r map[string]any) (string, []byte) {
-		name := []string{"service", "address", "slots", "state", "sequence"}[rng.IntN(5)]
-		if r[name] = []any{}; rng.IntN(2) == 0 {
-			delete(r, name)
+	func(rng *rand.Rand, r buckthornpin.Endpoint) (string, []byte) {
+		body := withoutField(rng, r)
+		if _, err := platf.DecodeHeartbeat(r.ID, body); err == nil {
+			return agentID(rng), body // It can't be told from the engine's own report.
 		}
-		return engine, encode(r)
+		return r.ID, body
 	},
-	func(rng *rand.Rand, engine string, r map[string]any) (string, []byte) {
-		data := encode(r)
-		return engine, data[:rng.IntN(len(data))]
+	func(rng *rand.Rand, r buckthornpin.Endpoint) (string, []byte) {
+		id, body := encodeReport(r)
+		return id, body[:rng.IntN(len(body))]
 	},
 }
 
+// withoutField encodes a report in which a field is missing or has another type.
+func withoutField(rng *rand.Rand, r buckthornpin.Endpoint) []byte {
+	_, body := encodeReport(r)
+	fields := map[string]any{}
+	if err := json.Unmarshal(body, &fields); err != nil {
+		panic(err)
+	}
+	names := slices.Sorted(maps.Keys(fields))
+	name := names[rng.IntN(len(names))]
+	if fields[name] = []any{}; rng.IntN(2) == 0 {
+		delete(fields, name)
+	}
+	body, err := json.Marshal(fields)
+	if err != nil {
+		panic(err)
+	}
+	return body
+}
+
+// foreignAddress is an address at which no sound engine is.
+const foreignAddress = "127.0.0.9:9"
+
 func agentID(rng *rand.Rand) string { return fmt.Sprint("agent-", rng.IntN(4)) }
 
 // putForeign has one of the writers send a report beside an engine drawn at random. It may claim an
 // earlier or a later start, the start of the engine, or a sequence that runs ahead.
 func (s *reportedSite) putForeign(writers []foreignWriter) {
-	e := s.engines[s.rng.IntN(len(s.engines))]
-	r := maps.Clone(e.report)
-	r["born"] = r["born"].(int) + []int{-5000, 0, 5000}[s.rng.IntN(3)]
-	r["sequence"] = []int{0, r["sequence"].(int), 1 << 40}[s.rng.IntN(3)]
-	r["state"] = []string{"ready", "draining"}[s.rng.IntN(2)]
-	s.put(writers[s.rng.IntN(len(writers))](s.rng, e.id, r))
+	r := s.engines[s.rng.IntN(len(s.engines))].report
+	r.Incarnation += []int64{-5000, 0, 5000}[s.rng.IntN(3)]
+	r.Sequence = []int64{0, r.Sequence, 1 << 40}[s.rng.IntN(3)]
+	r.Leaving = s.rng.IntN(2) == 0
+	s.put(writers[s.rng.IntN(len(writers))](s.rng, r))
 }
 
 // requireForeignReportsChangeNothing sends reports of writers between those of sound engines, to
@@ -311,7 +338,7 @@
 // can't be used, and against one that is refused without a reason in the log.
 func TestReportWithUnusableNameIsRefused(t *testing.T) {
 	s := newReportedSite(t, 1)
-	report := encode(s.engines[0].report)
+	_, report := encodeReport(s.engines[0].report)
 	for _, id := range []string{"i-1\r\n", "i-1\n", " i-1", "i-1 ", "i-\x00", "i-\xff", strings.Repeat("x", 2000)} {
 		for _, method := range []string{http.MethodPut, http.MethodDelete} {
 			require.Equal(t, http.StatusBadRequest, s.call(method, id, report, s.processes[0]), "%s %q", method, id)
--- a/peer/directory.go
+++ b/peer/directory.go
@@ -91,8 +91,8 @@
 		d.merge(d.known(e), e)
 	}
 	for key, k := range d.entries[e.ID] {
-		comparable := key == d.entryKey(e) || key == "" || d.entryKey(e) == ""
-		if comparable && k.endpoint.Incarnation > e.Incarnation {
+		related := key == d.entryKey(e) || key == "" || d.entryKey(e) == ""
+		if related && k.endpoint.Incarnation > e.Incarnation {
 			later = append(later, k.endpoint)
 		}
 	}
