integ: other writers report to a fleet of processes, and in the soak

Ruled out: a change of the recorded seeds of the soak: the new kind of fault is the last, and they draw from those that existed when they were recorded. What an endpoint says of itself is in one function.

--- a/integ/fleet_engine_test.go
+++ b/integ/fleet_engine_test.go
@@ -175,11 +175,16 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.sequence++
-	path, body = platf.EncodeHeartbeat(buckthornpin.Endpoint{
+	path, body = platf.EncodeHeartbeat(e.announced())
+	return path, body, e.server != nil && !e.silent
+}
+
+// announced returns what the endpoint says of itself. The caller holds mu.
+func (e *endpointStub) announced() buckthornpin.Endpoint {
+	return buckthornpin.Endpoint{
 		ID: e.id, Services: []string{e.service}, Address: e.address, Zone: "zone-1", Capacity: endpointSlots,
 		Incarnation: e.incarnation, Sequence: e.sequence, Leaving: e.leaving,
-	})
-	return path, body, e.server != nil && !e.silent
+	}
 }
 
 // goSilent ends the endpoint's heartbeats.
--- a/integ/soak_test.go
+++ b/integ/soak_test.go
@@ -95,7 +95,7 @@
 }
 
 // faultKindCount is the number of entries of soak.faults.
-const faultKindCount = 18
+const faultKindCount = 19
 
 func runSoak(t *testing.T, seed uint64, faultKinds int) {
 	prepaid := map[string]int64{"head-office": 50_000_000, "portmore": 20_000_000, "small": 60_000}
@@ -180,7 +180,7 @@
 	return []func(at, span time.Duration){
 		s.killOne, s.killOne, s.stopOne, s.killAll, s.wipeDisk, s.freezeOne, s.cutRouters, s.cutOne, s.dropReplies,
 		s.crashEndpoint, s.failSomeRequests, s.replaceEndpoint, s.changeConfiguration, s.changeConfiguration, s.sendHangup,
-		s.resendOlder, s.sendLargeBodies, s.readSlowly,
+		s.resendOlder, s.sendLargeBodies, s.readSlowly, s.reportForeign,
 	}
 }
 
@@ -407,6 +407,20 @@
 	})
 }
 
+// reportForeign has other writers report beside the endpoints.
+func (s *soak) reportForeign(at, span time.Duration) {
+	seed := s.random.Uint64()
+	s.schedule(at, func() {
+		s.logf("other writers report for %v", span)
+		ctx, stop := context.WithTimeout(s.ctx, span)
+		s.sendForeignReports(ctx, seed)
+		s.background.Go(func() {
+			<-ctx.Done()
+			stop()
+		})
+	})
+}
+
 // resendOlder sends a version again that a later one has replaced. It may be acknowledged,
 // but must change nothing.
 func (s *soak) resendOlder(at, _ time.Duration) {
