An organisation's unusable name affects its own requests only

And a request whose head can't be written counted against the endpoints that it was meant for.

Ruled out: leaving the check out. A new configuration with such a name is refused with a clear error.

Change: CheckNames is asked where a configuration is put (platform, operators' interface, site check and put), not where a stored one is read. KindUnsendable is an error of the request, and blames no endpoint.

--- a/app/site_command.go
+++ b/app/site_command.go
@@ -95,5 +95,9 @@
 	if err != nil {
 		return site.Configuration{}, &Error{Op: "read", Kind: KindUsage, Err: err}
 	}
-	return site.Decode(document)
+	c, err := site.Decode(document)
+	if err == nil {
+		err = c.CheckNames()
+	}
+	return c, err
 }
--- a/oper/site.go
+++ b/oper/site.go
@@ -26,6 +26,9 @@
 		return
 	}
 	c, err := site.Decode(document)
+	if err == nil {
+		err = c.CheckNames()
+	}
 	if err != nil {
 		s.replyProblem(ctx, http.StatusBadRequest, err.Error())
 		return
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -109,9 +109,12 @@
 
 // recordFailure handles an attempt that got no answer.
 func (f *flight) recordFailure(ctx context.Context, e *buckthornpin.Endpoint, err error) {
-	if notSent(err) {
+	switch {
+	case unsendable(err):
+		// The endpoint has no part in it.
+	case notSent(err):
 		f.recordUnsent(ctx, e)
-	} else {
+	default:
 		f.sentCount++
 		f.mayHaveRun = true
 		f.forbidRepetition()
--- a/relay/flight_test.go
+++ b/relay/flight_test.go
@@ -184,6 +184,18 @@
 	return reply, s, funds
 }
 
+// TestUnsendableRequestsBlameNoEndpoint guards against an endpoint that is avoided for a while because
+// a request could be sent to none.
+func TestUnsendableRequestsBlameNoEndpoint(t *testing.T) {
+	unsendable := step{err: &Error{Op: "encode", Kind: KindUnsendable, Err: errors.New("line break")}}
+	r, reply, s, _ := scriptedRouter(t, unsendable, step{answer: plain(200, "1")}, step{answer: plain(200, "2")})
+	serveOnce(r, "/once/x", reply)
+	serveOnce(r, "/once/x", reply)
+	require.Equal(t, "12", reply.body.String())
+	require.NotEqual(t, s.sent[0].Endpoint.ID, s.sent[1].Endpoint.ID)
+	require.Equal(t, s.sent[0].Endpoint.ID, s.sent[2].Endpoint.ID, "the first choice is still the same")
+}
+
 // TestNonIdempotentRunsAtMostOnce guards against a non-idempotent request that runs twice.
 // It is retried only if the endpoint states that it didn't run it, or if no byte was sent;
 // after anything else it may have run.
--- a/relay/request.go
+++ b/relay/request.go
@@ -108,8 +108,8 @@
 	Pause buckthornpin.StatedPause
 }
 
-// Endpoints sends requests to endpoints. An error of KindNotSent means that nothing was
-// sent; after any other error the request may have run.
+// Endpoints sends requests to endpoints. An error of KindNotSent or KindUnsendable means that
+// nothing was sent; after any other error the request may have run.
 type Endpoints interface {
 	Send(ctx context.Context, d Dispatch) (*Answer, error)
 	// RefusesConnections reports whether nothing listens on the address any more.
--- a/site/check.go
+++ b/site/check.go
@@ -20,10 +20,19 @@
 		k.checkRoute(&c.Routes[i], routeNames)
 	}
 	k.checkOrganisations(c.Organisations)
-	if len(k.problems) == 0 {
-		return nil
+	return k.problem("check")
+}
+
+// CheckNames returns an error if endpoints can't be told the name of an organisation, which is sent
+// in a header. It is for configurations that are put. One that is in force already stays usable,
+// since only the requests of that organisation can't be sent.
+func (c *Configuration) CheckNames() error {
+	k := &checker{}
+	for _, o := range c.Organisations {
+		err := buckthornpin.CheckName(o.Name)
+		k.expect(err == nil, "organisation: %v", err)
 	}
-	return &Error{Op: "check", Kind: KindInvalid, Err: errors.Join(k.problems...)}
+	return k.problem("check names")
 }
 
 // checker collects the problems of one configuration.
@@ -33,6 +42,14 @@
 	problems []error
 }
 
+// problem returns all problems as one error, or nil if there is none.
+func (k *checker) problem(op string) error {
+	if len(k.problems) == 0 {
+		return nil
+	}
+	return &Error{Op: op, Kind: KindInvalid, Err: errors.Join(k.problems...)}
+}
+
 // expect records a problem unless ok is true.
 func (k *checker) expect(ok bool, format string, args ...any) {
 	if !ok {
@@ -77,9 +94,7 @@
 func (k *checker) checkOrganisations(organisations []Organisation) {
 	owners := map[string]string{}
 	for _, o := range organisations {
-		// Endpoints are told the name in a header.
-		err := buckthornpin.CheckName(o.Name)
-		k.expect(err == nil, "organisation: %v", err)
+		k.expect(o.Name != "", "organisation without a name")
 		k.expect(o.Prepaid == Unlimited || buckthornpin.IsTokenCount(o.Prepaid), "organisation %q: prepaid: expected 0 to %d tokens", o.Name, buckthornpin.MaxTokens)
 		for _, key := range o.Keys {
 			owner, taken := owners[key]
