--- a/app/foreign_announcements_test.go
+++ b/app/foreign_announcements_test.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
-	"slices"
 	"testing"
 	"time"
 
@@ -84,7 +83,7 @@
 		}
 	}
 	for _, d := range []*peer.Directory{first, second} {
-		used := sortedIDs(d.Serving(buckthornpin.Target{Model: "m"}))
+		used := livingIDs(d.Serving(buckthornpin.Target{Model: "m"}))
 		require.Subset(t, used, []string{"engine-1", "engine-2"})
 	}
 }
@@ -126,14 +125,13 @@
 	return nil
 }
 
-// sortedIDs returns the ids of endpoints that take work.
-func sortedIDs(all []*buckthornpin.Endpoint) []string {
+// livingIDs returns the ids of endpoints that take work.
+func livingIDs(all []*buckthornpin.Endpoint) []string {
 	var out []string
 	for _, e := range all {
 		if !e.Leaving && !e.Dead {
 			out = append(out, e.ID)
 		}
 	}
-	slices.Sort(out)
 	return out
 }
--- a/peer/directory.go
+++ b/peer/directory.go
@@ -179,8 +179,8 @@
 }
 
 // Leave records that an incarnation of an endpoint is leaving, or the newest known one if
-// incarnation is 0. An unknown endpoint is recorded too, so that a late heartbeat does not
-// bring it back. If its incarnation isn't known either, every report of another process
+// incarnation is 0, at all services of the id. An unknown endpoint is recorded too, so that a
+// late heartbeat does not bring it back. If its incarnation isn't known either, every report of another process
 // supersedes the record.
 func (d *Directory) Leave(id string, incarnation int64) {
 	left := buckthornpin.Endpoint{ID: id, Incarnation: incarnation, Leaving: true}
--- a/peer/news.go
+++ b/peer/news.go
@@ -59,8 +59,8 @@
 }
 
 // Merge merges endpoint states reported by another process. One that can't be used is left out,
-// so that it doesn't keep the others back. It returns this process's
-// states of those endpoints of which the other one knows only an earlier incarnation.
+// so that it doesn't keep the others back. It returns this process's states of those endpoints
+// of which the other one knows only an earlier incarnation.
 func (d *Directory) Merge(states []*wire.EndpointState) []*wire.EndpointState {
 	var newer []*wire.EndpointState
 	for _, s := range states {
@@ -75,7 +75,7 @@
 	return newer
 }
 
-// statesOf returns what is known under one id.
+// statesOf returns what is known under one id, a state for each service with SplitByService.
 func (d *Directory) statesOf(id string) []*wire.EndpointState {
 	d.mu.Lock()
 	defer d.mu.Unlock()
